--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,145 @@
+// Package verdict says what is known about whether a request ran. Every answer
+// to a caller carries a verdict, and the code of an error, never its text,
+// decides whether the request may be sent again.
+package verdict
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Verdict states whether a request ran at a backend server.
+type Verdict uint8
+
+const (
+	// Unknown means that the request may have run. It is the zero value, so
+	// that a verdict nobody set never claims too much.
+	Unknown Verdict = iota
+	// NotRun means that the request certainly did not run and will not run.
+	NotRun
+	// Ran means that the request certainly ran.
+	Ran
+)
+
+// String returns the form used in headers and problem bodies.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler. It fails on a text that is
+// not one of the three forms.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for _, candidate := range []Verdict{Unknown, NotRun, Ran} {
+		if candidate.String() == string(text) {
+			*v = candidate
+			return nil
+		}
+	}
+	return fmt.Errorf("unknown verdict %q", text)
+}
+
+// Code names the reason of an error. Codes are part of the callers' interface
+// and never change their meaning.
+type Code string
+
+// Codes of errors that a caller can see.
+const (
+	CodeBadRequest       Code = "bad-request"
+	CodeUnauthorized     Code = "unauthorized"
+	CodeForbidden        Code = "forbidden"
+	CodeNotFound         Code = "not-found"
+	CodeTooLarge         Code = "too-large"
+	CodeKeyReused        Code = "key-reused"
+	CodeKeyUnresolved    Code = "key-unresolved"
+	CodeBudgetExhausted  Code = "budget-exhausted"
+	CodeBudgetUnreached  Code = "budget-unreachable"
+	CodeOverloaded       Code = "overloaded"
+	CodeRateLimited      Code = "rate-limited"
+	CodeNoServer         Code = "no-server"
+	CodeDraining         Code = "draining"
+	CodeCrashesServers   Code = "crashes-servers"
+	CodeDeadline         Code = "deadline-exceeded"
+	CodeCanceled         Code = "canceled"
+	CodeServerLost       Code = "server-lost"
+	CodeServerError      Code = "server-error"
+	CodeFenced           Code = "fenced"
+	CodeAnswerNotKept    Code = "answer-not-kept"
+	CodeNotReady         Code = "not-ready"
+	CodeInternal         Code = "internal"
+	CodeHomeUnreachable  Code = "home-unreachable"
+	CodeProtocolMismatch Code = "protocol-mismatch"
+)
+
+// Error is an error with a verdict. Detail is shown to the caller and must hold
+// no secret.
+type Error struct {
+	Verdict Verdict
+	Code    Code
+	Detail  string
+	// RetryAfter is how long the caller should wait before it asks again, 0 if
+	// waiting does not help.
+	RetryAfter time.Duration
+	// Err is the cause, for logs only.
+	Err error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Detail)
+	}
+	return fmt.Sprintf("%s (%s): %s: %v", e.Code, e.Verdict, e.Detail, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// New returns an error with the given verdict, code and detail.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// WithRetryAfter sets how long the caller should wait and returns e.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// WithCause sets the cause and returns e.
+func (e *Error) WithCause(err error) *Error {
+	e.Err = err
+	return e
+}
+
+// Of returns the verdict of err: Ran for nil, that of the outermost Error in
+// its chain, and Unknown for any other error.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return Unknown
+}
+
+// CodeOf returns the code of err, CodeInternal if it carries none.
+func CodeOf(err error) Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return CodeInternal
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,179 @@
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+)
+
+// FrameType says what a frame holds.
+type FrameType uint8
+
+// Frames from a router to an agent.
+const (
+	FrameExec   FrameType = 1
+	FrameBody   FrameType = 2
+	FrameAttach FrameType = 3
+	FrameCancel FrameType = 4
+)
+
+// Frames from an agent to a router.
+const (
+	FrameRefused  FrameType = 16
+	FrameAccepted FrameType = 17
+	FrameHead     FrameType = 18
+	FrameData     FrameType = 19
+	FrameDone     FrameType = 20
+)
+
+// FrameHello carries a Hello or its proof during the handshake.
+const FrameHello FrameType = 32
+
+// frameHeaderBytes is the encoded length of a frame's header: type, 24-bit
+// payload length, token count, and the tag of the attempt.
+const frameHeaderBytes = 12
+
+// Errors of the framing layer. Each ends the connection that it occurred on.
+var (
+	ErrFrameTooLarge = errors.New("frame over the size limit")
+	ErrMalformed     = errors.New("malformed frame")
+)
+
+// Tag is the part of an attempt id that every frame carries, so that a frame of
+// another attempt is recognised and dropped.
+type Tag uint32
+
+// TagOf returns the tag of an attempt, taken from the random part of its id.
+func TagOf(attempt uuid.UUID) Tag {
+	return Tag(binary.BigEndian.Uint32(attempt[12:]))
+}
+
+// Frame is one unit on an exec stream.
+type Frame struct {
+	Type FrameType
+	Tag  Tag
+	// Tokens is the number of generated tokens in a data frame.
+	Tokens uint32
+	// Payload is valid until the next read from the same reader.
+	Payload []byte
+}
+
+// Decode parses the payload as a message.
+func (f Frame) Decode(msg any) error {
+	if err := decMode.Unmarshal(f.Payload, msg); err != nil {
+		return fmt.Errorf("%w: type %d: %v", ErrMalformed, f.Type, err)
+	}
+	return nil
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// Bounds on decoded messages, against a peer that sends deep or huge ones.
+const (
+	maxNestedLevels  = 16
+	maxArrayElements = 131072
+	maxMapPairs      = 1024
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels:  maxNestedLevels,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// frameWriter writes frames. It reuses one buffer and is not safe for concurrent
+// use.
+type frameWriter struct {
+	w   io.Writer
+	buf []byte
+}
+
+func (fw *frameWriter) write(t FrameType, tag Tag, tokens uint32, payload []byte) error {
+	if len(payload) > MaxFrameBytes {
+		return ErrFrameTooLarge
+	}
+	fw.buf = appendFrameHeader(fw.buf[:0], t, tag, tokens, len(payload))
+	fw.buf = append(fw.buf, payload...)
+	_, err := fw.w.Write(fw.buf)
+	return err
+}
+
+func (fw *frameWriter) writeMessage(t FrameType, tag Tag, msg any) error {
+	payload, err := encMode.Marshal(msg)
+	if err != nil {
+		return fmt.Errorf("encode frame type %d: %w", t, err)
+	}
+	return fw.write(t, tag, 0, payload)
+}
+
+func appendFrameHeader(buf []byte, t FrameType, tag Tag, tokens uint32, length int) []byte {
+	buf = append(buf, byte(t), byte(length>>16), byte(length>>8), byte(length))
+	buf = binary.BigEndian.AppendUint32(buf, tokens)
+	return binary.BigEndian.AppendUint32(buf, uint32(tag))
+}
+
+// frameReader reads frames. It reuses one buffer and is not safe for concurrent
+// use.
+type frameReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+func newFrameReader(r io.Reader) *frameReader {
+	return &frameReader{r: bufio.NewReaderSize(r, 4<<10)}
+}
+
+func (fr *frameReader) read() (Frame, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(fr.r, header[:]); err != nil {
+		return Frame{}, err
+	}
+	length := int(header[1])<<16 | int(header[2])<<8 | int(header[3])
+	if length > MaxFrameBytes {
+		return Frame{}, ErrFrameTooLarge
+	}
+	if cap(fr.buf) < length {
+		fr.buf = make([]byte, length)
+	}
+	fr.buf = fr.buf[:length]
+	if _, err := io.ReadFull(fr.r, fr.buf); err != nil {
+		return Frame{}, noEOF(err)
+	}
+	return Frame{
+		Type:    FrameType(header[0]),
+		Tokens:  binary.BigEndian.Uint32(header[4:]),
+		Tag:     Tag(binary.BigEndian.Uint32(header[8:])),
+		Payload: fr.buf,
+	}, nil
+}
+
+// noEOF turns an end of the stream inside a frame into an error that is not
+// taken for a regular end.
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
