--- /dev/null
+++ b/internal/telemetry/trace.go
@@ -0,0 +1,101 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+)
+
+const tracerName = "github.com/monsoonworks/monsoonworks"
+
+// traceParent is the key of the W3C trace context in headers and messages.
+const traceParent = "traceparent"
+
+// SetupTraces installs the exporters that the settings name. The returned
+// function sends what is left and must be called at the end of the process.
+func SetupTraces(ctx context.Context, s settings.Settings) (func(context.Context) error, error) {
+	none := func(context.Context) error { return nil }
+	options, err := exporters(ctx, s.Telemetry.Traces)
+	if err != nil || len(options) == 0 {
+		return none, err
+	}
+	options = append(options,
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.Telemetry.Traces.SampleShare))),
+		sdktrace.WithResource(resource.NewSchemaless(
+			attribute.String("service.name", "monsoond-"+string(s.Role)),
+			attribute.String("host.name", s.Name),
+			attribute.String("cloud.region", s.Region),
+			attribute.String("cloud.availability_zone", s.Domain),
+		)))
+	provider := sdktrace.NewTracerProvider(options...)
+	otel.SetTracerProvider(provider)
+	return provider.Shutdown, nil
+}
+
+func exporters(ctx context.Context, t settings.Traces) ([]sdktrace.TracerProviderOption, error) {
+	var options []sdktrace.TracerProviderOption
+	if t.OTLPEndpoint != "" {
+		exporter, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(t.OTLPEndpoint))
+		if err != nil {
+			return nil, fmt.Errorf("trace exporter: %w", err)
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	if t.File != "" {
+		file, err := os.OpenFile(t.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, fmt.Errorf("trace file: %w", err)
+		}
+		exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+		if err != nil {
+			return nil, fmt.Errorf("trace exporter: %w", err)
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	return options, nil
+}
+
+// StartSpan starts a span as a child of the span in ctx.
+func StartSpan(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, trace.Span) {
+	return otel.Tracer(tracerName).Start(ctx, name, trace.WithAttributes(attributes...))
+}
+
+// EndSpan ends a span and records err, if any, as its status.
+func EndSpan(span trace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
+// WithTraceParent returns ctx with the remote span that a W3C traceparent value
+// names. An invalid value is ignored.
+func WithTraceParent(ctx context.Context, value string) context.Context {
+	if value == "" {
+		return ctx
+	}
+	return propagation.TraceContext{}.Extract(ctx, propagation.MapCarrier{traceParent: value})
+}
+
+// TraceParent returns the W3C traceparent value of the span in ctx, or fallback
+// if there is none, so that a caller's context is kept where no spans are made.
+func TraceParent(ctx context.Context, fallback string) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	if value := carrier[traceParent]; value != "" {
+		return value
+	}
+	return fallback
+}
