--- /dev/null
+++ b/internal/budget/exchange.go
@@ -0,0 +1,425 @@
+package budget
+
+import "time"
+
+// Exchange answers a router's report. Reports are cumulative and list all lots
+// that the router has of the account, so a lost or repeated message does no
+// harm.
+func (h *Holder) Exchange(now time.Time, req ExchangeRequest) ExchangeReply {
+	h.ObserveEpoch(req.Epoch)
+	reply := ExchangeReply{Epoch: h.heardEpoch, Seq: req.Seq}
+	if req.Account != h.account || h.deposed || h.sealed {
+		reply.NotHolder = true
+		return reply
+	}
+	rs := h.router(req.Router)
+	if req.Seq < rs.seq {
+		h.counters.StaleExchanges++
+		reply.NotHolder = true
+		return reply
+	}
+	rs.seq = req.Seq
+	if rs.fence != nil {
+		reply.Fenced = true
+		return reply
+	}
+	h.dropUnknownToRouter(rs, req)
+	if req.Epoch >= h.epoch {
+		h.adopt(now, req.Router, rs, req.Lots)
+	}
+	reply.Lots = make([]LotGrant, 0, len(req.Lots))
+	for i := range req.Lots {
+		if grant, ok := h.answerLot(now, rs, &req, &req.Lots[i]); ok {
+			reply.Lots = append(reply.Lots, grant)
+		}
+	}
+	return reply
+}
+
+// dropUnknownToRouter closes lots whose grant the router never received. It
+// reports all lots that it has, and ignores answers to earlier exchanges, so a
+// lot that it never named is unknown to it for good.
+func (h *Holder) dropUnknownToRouter(rs *routerState, req ExchangeRequest) {
+	if len(rs.lots) == 0 {
+		return
+	}
+	for mark, l := range rs.lots {
+		if l.phase != lotOpen || l.reported {
+			continue
+		}
+		known := false
+		for i := range req.Lots {
+			r := &req.Lots[i]
+			known = known || r.Lot.Mark() == mark || r.Lot.IsZero() && r.Budget == l.budget.id
+		}
+		if !known {
+			h.retire(l)
+		}
+	}
+}
+
+// adopt takes over the lots of former epochs that a router reports after it has
+// adopted this epoch. It ignores all answers of former holders from then on, so
+// its first report is complete and final.
+func (h *Holder) adopt(now time.Time, router Incarnation, rs *routerState, lots []LotReport) {
+	if h.recon == nil || rs.adopted {
+		return
+	}
+	rs.adopted = true
+	for i := range lots {
+		r := &lots[i]
+		mark := r.Lot.Mark()
+		l := h.lots[mark]
+		// A lot that is not listed has no durable bills, unless it is closed.
+		if l == nil && h.maybeOpen(mark) && !r.Close && r.Billed == 0 {
+			l = h.addLot(mark, router, h.budget(r.Budget), lotOrphan)
+		}
+		if l == nil || l.phase != lotOrphan || l.closed {
+			continue
+		}
+		if l.budget.id != r.Budget || l.router.Boot != router.Boot && l.router.Boot != (Boot{}) {
+			h.violate(violated("holder", r.Budget, "lot %v is reported by %v", mark, router))
+			continue
+		}
+		h.refile(l, router)
+		limit := max(r.Limit, l.billed)
+		if extra := limit - l.billed - l.budget.unreconciled; extra > 0 {
+			h.violate(violated("holder", r.Budget, "lot %v is %d tokens over the unreconciled escrow", mark, extra))
+			limit -= extra
+		}
+		h.openOrphan(l, limit, true)
+		l.opened, l.budget.lastUse = now, now
+	}
+}
+
+// refile corrects the router of a lot that is known from an agent's bill, which
+// has only the boot.
+func (h *Holder) refile(l *lotState, router Incarnation) {
+	delete(h.router(l.router).lots, l.id.Mark())
+	l.router = router
+	h.router(router).lots[l.id.Mark()] = l
+}
+
+// answerLot processes one report. It returns false if the lot cannot be judged
+// before the router has adopted this epoch.
+func (h *Holder) answerLot(now time.Time, rs *routerState, req *ExchangeRequest, r *LotReport) (LotGrant, bool) {
+	if r.Lot.IsZero() {
+		return h.answerNew(now, rs, req, r), true
+	}
+	l := h.lots[r.Lot.Mark()]
+	grant := LotGrant{Lot: r.Lot, Budget: r.Budget}
+	switch {
+	case l == nil && req.Epoch < h.epoch && r.Lot.Epoch < h.epoch:
+		return grant, false
+	case l == nil:
+		h.counters.LateBills += int64(len(r.Bills))
+		grant.Closed = true
+		return grant, true
+	case l.router != req.Router || l.budget.id != r.Budget:
+		h.violate(violated("holder", r.Budget, "lot %v is reported by %v", r.Lot.Mark(), req.Router))
+		grant.Closed = true
+		return grant, true
+	case l.phase == lotOrphan:
+		return grant, false
+	}
+	l.reported = true
+	for _, bill := range r.Bills {
+		h.accept(l, bill, "")
+	}
+	if l.phase == lotRetired {
+		grant.Closed = true
+		return grant, true
+	}
+	for _, slot := range r.Unused {
+		l.markUnused(slot)
+	}
+	h.noteUse(now, l, r)
+	if r.Release && r.Lower < l.limit {
+		l.setLimit(max(r.Lower, l.billed))
+	}
+	if r.Close && len(l.pending) == 0 {
+		h.retire(l)
+		grant.Closed = true
+		return grant, true
+	}
+	h.grow(now, l, r, &grant)
+	h.fillGrant(now, l, r, &grant)
+	return grant, true
+}
+
+// answerNew processes the request for a lot that the router does not know.
+func (h *Holder) answerNew(now time.Time, rs *routerState, req *ExchangeRequest, r *LotReport) LotGrant {
+	grant := LotGrant{Budget: r.Budget}
+	var l *lotState
+	for _, known := range rs.lots {
+		if known.phase == lotOpen && known.budget.id == r.Budget && !known.reported {
+			l = known
+		}
+	}
+	if missing := h.whyUnknown(now, r.Budget); l == nil && missing != MissingNothing {
+		grant.Missing = missing
+		if missing == MissingPending {
+			h.noteUnmet(now, h.budget(r.Budget), r.Want)
+		}
+		return grant
+	}
+	grant.KeyHashes = h.keyHashes(r.Budget)
+	if r.Want <= 0 {
+		return grant
+	}
+	b := h.budget(r.Budget)
+	if l == nil && b.free() > 0 {
+		l = h.addLot(LotMark{Epoch: h.epoch, Num: h.nextLot}, req.Router, b, lotOpen)
+		l.opened = now
+		h.nextLot++
+	}
+	if l == nil {
+		h.noteUnmet(now, b, r.Want)
+		grant.Missing = h.why(now, b)
+		return grant
+	}
+	h.noteUse(now, l, r)
+	h.grow(now, l, r, &grant)
+	h.fillGrant(now, l, r, &grant)
+	return grant
+}
+
+// noteUse takes over what a report says about the use of a lot.
+func (h *Holder) noteUse(now time.Time, l *lotState, r *LotReport) {
+	b := l.budget
+	demand := max(0, r.DemandPerSecond)
+	b.demand = max(0, b.demand+demand-l.demand)
+	l.demand, l.reserved = demand, r.Reserved
+	b.lastUse = now
+}
+
+// grow raises a lot's limit towards the wanted one.
+func (h *Holder) grow(now time.Time, l *lotState, r *LotReport, grant *LotGrant) {
+	b := l.budget
+	need := r.Want - l.limit
+	if need <= 0 {
+		return
+	}
+	add := min(need, max(0, b.free()))
+	l.setLimit(l.limit + add)
+	if add < need {
+		h.noteUnmet(now, b, need-add)
+		grant.Missing = h.why(now, b)
+	}
+}
+
+// fillGrant completes the answer about an open lot.
+func (h *Holder) fillGrant(now time.Time, l *lotState, r *LotReport, grant *LotGrant) {
+	grant.Lot, grant.Limit = l.id, l.limit
+	for i := range r.Bills {
+		grant.Durable = l.appendDurable(grant.Durable, r.Bills[i].Slot)
+	}
+	for _, slot := range r.Pending {
+		grant.Durable = l.appendDurable(grant.Durable, slot)
+	}
+	grant.Recall = now.Before(l.budget.recallUntil) && grant.Missing == MissingNothing
+	grant.KeyHashes = h.keyHashes(r.Budget)
+}
+
+func (l *lotState) appendDurable(to []Slot, slot Slot) []Slot {
+	if l.durable.Contains(slot) {
+		return append(to, slot)
+	}
+	return to
+}
+
+// noteUnmet records that a wish could not be met: lots of the budget are
+// recalled and the next flush is urgent.
+func (h *Holder) noteUnmet(now time.Time, b *budgetState, amount Tokens) {
+	if now.Sub(b.unmetAt) > recallFor {
+		b.unmet = 0
+	}
+	b.unmet = max(b.unmet, amount)
+	b.unmetAt, b.lastUse = now, now
+	b.recallUntil = now.Add(recallFor)
+}
+
+// stillUnmet returns the amount of recent unmet wishes.
+func (b *budgetState) stillUnmet(now time.Time) Tokens {
+	if b.unmet == 0 || now.Sub(b.unmetAt) > recallFor {
+		return 0
+	}
+	return b.unmet
+}
+
+// keyHashes returns the key hashes of a budget in the treasury last observed.
+func (h *Holder) keyHashes(id ID) [][]byte {
+	if h.treasury == nil || h.treasury.Budgets[id] == nil {
+		return nil
+	}
+	return h.treasury.Budgets[id].KeyHashes
+}
+
+// whyUnknown says why nothing can be granted for a budget that the treasury
+// last observed does not list.
+func (h *Holder) whyUnknown(now time.Time, id ID) MissingReason {
+	switch {
+	case h.budgets[id] != nil && h.budgets[id].drawn > 0:
+		return MissingNothing
+	case h.treasury == nil && h.flushFailing:
+		return MissingUnreachable
+	case h.treasury == nil:
+		return MissingPending
+	case h.treasury.Budgets[id] != nil:
+		return MissingNothing
+	case now.Sub(h.seenAt) < exhaustedRetry:
+		return MissingBudget
+	case h.flushFailing:
+		return MissingUnreachable
+	}
+	return MissingPending
+}
+
+// why says why a wish cannot be met now.
+func (h *Holder) why(now time.Time, b *budgetState) MissingReason {
+	if b.unreconciled > 0 || b.thaw > 0 || h.fencing(b) || h.unresolved || h.flushFailing {
+		return MissingUnreachable
+	}
+	if b.drawTried.IsZero() || now.Sub(b.drawTried) > exhaustedRetry {
+		return MissingPending
+	}
+	unreachable := false
+	if tb := h.treasury.budget(b.id); tb != nil {
+		for region, drawn := range tb.Drawn {
+			if region == h.account.Region || drawn == 0 {
+				continue
+			}
+			a, asked := b.regions[region]
+			switch {
+			case !asked || now.Sub(a.at) > exhaustedRetry || a.returned > 0:
+				return MissingPending
+			case !a.reachable:
+				unreachable = true
+			}
+		}
+	}
+	if unreachable {
+		return MissingUnreachable
+	}
+	if len(h.RecallTargets(b.id)) > 0 {
+		return MissingPending
+	}
+	return MissingExhausted
+}
+
+// budget returns an entry, or nil; t may be nil.
+func (t *Treasury) budget(id ID) *TreasuryBudget {
+	if t == nil {
+		return nil
+	}
+	return t.Budgets[id]
+}
+
+// fencing reports whether a lot of b belongs to a router being fenced.
+func (h *Holder) fencing(b *budgetState) bool {
+	for router, rs := range h.routers {
+		if rs.fence == nil {
+			continue
+		}
+		for _, l := range h.routers[router].lots {
+			if l.budget == b {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// RecallTargets returns the routers that hold more of a budget than they have
+// reserved, so that the caller can ask them to exchange at once.
+func (h *Holder) RecallTargets(id ID) []Incarnation {
+	var out []Incarnation
+	b := h.budgets[id]
+	if b == nil || b.openLimits == 0 {
+		return nil
+	}
+	for _, l := range h.lots {
+		if l.budget == b && l.phase == lotOpen && l.limit-l.billed > l.reserved {
+			out = append(out, l.router)
+		}
+	}
+	return out
+}
+
+// Unmet is a wish that the region's escrow could not meet.
+type Unmet struct {
+	Budget ID
+	Amount Tokens
+	// Regions are the other regions that have drawn on the budget and have not
+	// answered a request for a return lately.
+	Regions []string
+	// Routers hold unused lots in this region.
+	Routers []Incarnation
+}
+
+// Unmet lists the wishes of the last 2 s that could not be met. The caller asks
+// the regions with Holder.Return and the routers to exchange at once.
+func (h *Holder) Unmet(now time.Time) []Unmet {
+	var out []Unmet
+	for id, b := range h.budgets {
+		amount := b.stillUnmet(now)
+		if amount == 0 {
+			continue
+		}
+		u := Unmet{Budget: id, Amount: amount, Routers: h.RecallTargets(id)}
+		if tb := h.treasury.budget(id); tb != nil {
+			for region, drawn := range tb.Drawn {
+				if region != h.account.Region && drawn > 0 && now.Sub(b.regions[region].at) > UrgentFlushInterval {
+					u.Regions = append(u.Regions, region)
+				}
+			}
+		}
+		out = append(out, u)
+	}
+	return out
+}
+
+// ReturnAnswered records what another region's holder answered to a request for
+// a return; reachable is false if it did not answer.
+func (h *Holder) ReturnAnswered(now time.Time, id ID, region string, reachable bool, returned Tokens) {
+	b := h.budgets[id]
+	if b == nil {
+		return
+	}
+	if b.regions == nil {
+		b.regions = map[string]regionAnswer{}
+	}
+	b.regions[region] = regionAnswer{at: now, reachable: reachable, returned: returned}
+	if returned > 0 {
+		b.retryAt = now
+	}
+}
+
+// ReturnRequest is another region's wish for amount of a budget. It returns how
+// much the next flush will return, which is at once, and recalls unused lots if
+// that is less.
+func (h *Holder) ReturnRequest(now time.Time, id ID, amount Tokens) Tokens {
+	b := h.budgets[id]
+	if b == nil || h.deposed || h.sealed || amount <= 0 {
+		return 0
+	}
+	if now.Sub(b.returnAskAt) > returnAskFor {
+		b.returnAsk = 0
+	}
+	b.returnAsk = max(b.returnAsk, amount)
+	b.returnAskAt = now
+	can := b.returnable(now)
+	if can < amount && b.openLimits > 0 {
+		b.recallUntil = now.Add(recallFor)
+	}
+	return can
+}
+
+// returnable is what an active region gives back when another one asks.
+func (b *budgetState) returnable(now time.Time) Tokens {
+	if b.returnAsk == 0 || now.Sub(b.returnAskAt) > returnAskFor || b.stillUnmet(now) > 0 {
+		return 0
+	}
+	keep := scale(1, b.demand*keepSeconds)
+	return max(0, min(b.returnAsk, b.free()+b.held-keep))
+}
--- /dev/null
+++ b/internal/budget/flush.go
@@ -0,0 +1,466 @@
+package budget
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// MaxBillsPerFlush bounds a bill block, so that it stays well below the store's
+// largest value at about 250 bytes per bill.
+const MaxBillsPerFlush = 2000
+
+// Outcome is what the store said about a flush.
+type Outcome uint8
+
+const (
+	// FlushCommitted means that the transaction took effect.
+	FlushCommitted Outcome = iota
+	// FlushConflict means that it certainly did not and will not take effect,
+	// because a comparison failed.
+	FlushConflict
+	// FlushFailed means that it certainly did not and will not take effect,
+	// because the store was not reached or refused it.
+	FlushFailed
+	// FlushUnknown means that it may have taken effect, or still may.
+	FlushUnknown
+)
+
+// FlushPlan is one transaction of a holder. The caller writes Account, Treasury
+// unless it is nil, and Bills unless it is empty, if the account and, with
+// Treasury set, the treasury are unchanged since they were read.
+type FlushPlan struct {
+	Seq      uint64
+	Account  *AccountRecord
+	Treasury *Treasury
+	Bills    BillBlock
+
+	moves   map[ID]move
+	slots   []planSlot
+	retired []LotMark
+	losses  map[ID]int
+	thaw    map[ID]Tokens
+}
+
+// move is what a plan does to one budget's escrow.
+type move struct {
+	draw, back  Tokens
+	fold        bool
+	spent, lost Tokens // folded
+}
+
+type planSlot struct {
+	mark LotMark
+	slot Slot
+}
+
+// FlushDue reports whether a flush is worth a store call now: periodically while
+// there is something to write, and at most once a second for an unmet wish, a
+// return that another region asked for, or a full bill block. The caller then
+// reads the treasury and calls ObserveTreasury and PrepareFlush.
+func (h *Holder) FlushDue(now time.Time) bool {
+	since := now.Sub(h.lastFlush)
+	if h.deposed || h.sealed || since < UrgentFlushInterval {
+		return false
+	}
+	if since >= FlushInterval && (len(h.budgets) > 0 || len(h.lots) > 0) {
+		return true
+	}
+	pending := 0
+	for _, b := range h.budgets {
+		pending += b.pending
+		if b.urgent(now) {
+			return true
+		}
+	}
+	return pending >= MaxBillsPerFlush
+}
+
+func (b *budgetState) urgent(now time.Time) bool {
+	return !now.Before(b.retryAt) && b.stillUnmet(now) > 0 || b.returnable(now) > 0 || b.thaw > 0
+}
+
+// PrepareFlush plans a transaction from the treasury as just read, or without
+// draws and returns if t is nil. It does not change t. The plan is nil if there
+// is nothing to write. It fails with ErrUnresolved until ResolveFlush, with
+// ErrDeposed, with ErrDrawnMismatch if an earlier flush whose outcome is open
+// took effect, and with an InvariantError instead of planning a wrong record.
+func (h *Holder) PrepareFlush(now time.Time, t *Treasury) (*FlushPlan, error) {
+	if h.deposed {
+		return nil, ErrDeposed
+	}
+	if h.unresolved {
+		return nil, ErrUnresolved
+	}
+	if err := h.Check(); err != nil && h.counters.Violations == 0 {
+		h.violate(err)
+	}
+	p := &FlushPlan{Seq: h.nextSeq, moves: map[ID]move{}, losses: map[ID]int{}, thaw: map[ID]Tokens{}}
+	if t != nil {
+		if err := h.planMoves(now, t, p); err != nil {
+			return nil, err
+		}
+	}
+	h.lastFlush = now
+	h.planBills(p)
+	if p.Treasury == nil && p.Bills.Empty() && len(p.thaw) == 0 && !h.sealed && now.Sub(h.flushedAt) < FlushInterval {
+		return nil, nil
+	}
+	h.planRecord(p)
+	if err := p.Account.Check(); err != nil {
+		h.violate(err)
+		return nil, err
+	}
+	h.nextSeq++
+	h.candidates = append(h.candidates, p)
+	h.updateHeld()
+	return p, nil
+}
+
+// planMoves decides on draws, returns and folds, and builds the new treasury.
+func (h *Holder) planMoves(now time.Time, t *Treasury, p *FlushPlan) error {
+	next := &Treasury{Shard: t.Shard, Budgets: maps.Clone(t.Budgets)}
+	region := h.account.Region
+	changed := false
+	for id, b := range h.budgets {
+		tb := t.Budgets[id]
+		if tb == nil && b.drawn == 0 {
+			b.retryAt = now.Add(exhaustedRetry)
+			continue
+		}
+		if tb == nil || tb.Drawn[region] != b.drawn {
+			h.unresolved = true
+			return fmt.Errorf("%w: budget %q, account has %d", ErrDrawnMismatch, id, b.drawn)
+		}
+		m := h.planMove(now, b, tb)
+		if m == (move{}) && !demandMoved(tb.Demand[region], b.demand) {
+			continue
+		}
+		changed = true
+		next.Budgets[id] = tb.clone()
+		if err := h.applyMove(next, b, m); err != nil {
+			return err
+		}
+		p.moves[id] = m
+	}
+	if changed {
+		p.Treasury = next
+	}
+	return nil
+}
+
+// demandMoved reports whether a demand changed enough to be worth a write.
+func demandMoved(old, now float64) bool {
+	return (old == 0) != (now == 0) || now > 2*old || now < old/2
+}
+
+// planMove decides on one budget.
+func (h *Holder) planMove(now time.Time, b *budgetState, tb *TreasuryBudget) move {
+	free := b.free() + b.held
+	unmet := b.stillUnmet(now)
+	if b.lots == 0 && unmet == 0 && now.Sub(b.lastUse) >= IdleAfter {
+		m := move{back: free}
+		if b.unreconciled == 0 && b.thaw == 0 && b.pending == 0 && len(b.losses) == 0 && b.drawn > 0 {
+			m.fold, m.spent, m.lost = true, b.spent, b.lost
+		}
+		return m
+	}
+	if back := b.returnable(now); back > 0 {
+		return move{back: back}
+	}
+	draw := h.share(b, tb)
+	left := tb.Unallocated()
+	if short := unmet - free; short > draw {
+		draw = min(short, left)
+	}
+	if draw == 0 && unmet > 0 {
+		b.drawTried, b.retryAt = now, now.Add(exhaustedRetry)
+	}
+	return move{draw: draw}
+}
+
+// share is the draw that brings this region to its share, by demand, of the
+// balance less the reserve. A draw of less than an eighth of the share waits,
+// so that a steady region does not write the treasury each time.
+func (h *Holder) share(b *budgetState, tb *TreasuryBudget) Tokens {
+	if b.demand == 0 {
+		return 0
+	}
+	left := tb.Unallocated()
+	own := b.drawn - b.spent - b.lost - b.unreconciled
+	balance, demand := left+own, b.demand
+	for region, d := range tb.Demand {
+		if region != h.account.Region {
+			demand += d
+		}
+	}
+	for region, held := range tb.Held {
+		if region != h.account.Region {
+			balance += held
+		}
+	}
+	reserve := h.policy.Reserve(balance)
+	target := scale(balance-reserve, b.demand/demand)
+	draw := min(target-own, left-reserve)
+	if draw <= 0 || draw < target/8 {
+		return 0
+	}
+	return draw
+}
+
+// applyMove carries a move out on the new treasury.
+func (h *Holder) applyMove(t *Treasury, b *budgetState, m move) error {
+	region := h.account.Region
+	if err := t.Draw(b.id, region, m.draw); err != nil {
+		return err
+	}
+	if err := t.Return(b.id, region, m.back); err != nil {
+		return err
+	}
+	if m.fold {
+		return t.Fold(b.id, region, m.spent, m.lost)
+	}
+	tb := t.Budgets[b.id]
+	if tb.Demand == nil {
+		tb.Demand = map[string]float64{}
+	}
+	if tb.Held == nil {
+		tb.Held = map[string]Tokens{}
+	}
+	tb.Demand[region] = b.demand
+	tb.Held[region] = b.drawn + m.draw - m.back - b.spent - b.lost - b.unreconciled
+	return nil
+}
+
+// planBills chooses the bills and losses that become durable.
+func (h *Holder) planBills(p *FlushPlan) {
+	p.Bills = BillBlock{Account: h.account, Epoch: h.epoch, Seq: p.Seq}
+	for mark, l := range h.lots {
+		if len(p.slots)+len(l.pending) > MaxBillsPerFlush && len(p.slots) > 0 {
+			continue
+		}
+		for slot, held := range l.pending {
+			if len(p.slots) >= MaxBillsPerFlush {
+				break
+			}
+			p.slots = append(p.slots, planSlot{mark, slot})
+			p.Bills.Bills = append(p.Bills.Bills, held.bill)
+		}
+	}
+	for id, b := range h.budgets {
+		if len(b.losses) > 0 {
+			p.Bills.Losses = append(p.Bills.Losses, b.losses...)
+			p.losses[id] = len(b.losses)
+		}
+		if b.thaw > 0 {
+			p.thaw[id] = b.thaw
+		}
+	}
+}
+
+// planRecord builds the new account record.
+func (h *Holder) planRecord(p *FlushPlan) {
+	rec := &AccountRecord{
+		Account: h.account, Epoch: h.epoch, FlushSeq: p.Seq, Holder: h.self,
+		Budgets: make(map[ID]*AccountBudget, len(h.budgets)),
+		Lots:    make([]AccountLot, 0, len(h.lots)),
+		Next:    append(slices.Clone(h.former), LotMark{Epoch: h.epoch, Num: h.nextLot}),
+	}
+	if h.sealed {
+		rec.SealedEpoch = h.epoch
+	}
+	for id, b := range h.budgets {
+		m := p.moves[id]
+		if m.fold || b.drawn+m.draw == 0 && b.lots == 0 {
+			continue
+		}
+		rec.Budgets[id] = &AccountBudget{Drawn: b.drawn + m.draw - m.back, Spent: b.spent, Lost: b.lost}
+	}
+	planned := make(map[LotMark][]Slot, len(p.slots))
+	for _, s := range p.slots {
+		planned[s.mark] = append(planned[s.mark], s.slot)
+	}
+	for mark, l := range h.lots {
+		rec.Lots = h.planLot(p, rec, l, planned[mark])
+	}
+	slices.SortFunc(rec.Lots, func(a, b AccountLot) int {
+		if a.Mark.Before(b.Mark) {
+			return -1
+		}
+		return 1
+	})
+	p.Account = rec
+}
+
+// planLot adds a lot to the record, unless the plan is the last to need it.
+func (h *Holder) planLot(p *FlushPlan, rec *AccountRecord, l *lotState, slots []Slot) []AccountLot {
+	out := AccountLot{Mark: l.id.Mark(), Router: l.router, Budget: l.budget.id, Limit: l.limit,
+		Billed: l.durableBilled, Settled: l.durable.Clone(), Closed: l.phase == lotRetired || l.closed}
+	for _, slot := range slots {
+		amount := l.pending[slot].bill.Amount
+		out.Billed += amount
+		out.Settled.Add(slot)
+		rec.Budgets[l.budget.id].Spent += amount
+	}
+	if l.phase == lotRetired && len(slots) == len(l.pending) && !h.mustKeep(l) {
+		p.retired = append(p.retired, out.Mark)
+		return rec.Lots
+	}
+	return append(rec.Lots, out)
+}
+
+// updateHeld sets aside what flushes with an open outcome may have returned. At
+// most one of them takes effect.
+func (h *Holder) updateHeld() {
+	for _, b := range h.budgets {
+		b.held = 0
+	}
+	for _, p := range h.candidates {
+		for id, m := range p.moves {
+			if b := h.budgets[id]; b != nil {
+				b.held = max(b.held, m.back)
+			}
+		}
+	}
+}
+
+// FlushDone reports the outcome of a plan. It returns the bills that are durable
+// now and that the holder collected itself, so their agents must be told. After
+// FlushConflict and FlushUnknown the caller reads the account back and calls
+// ResolveFlush.
+func (h *Holder) FlushDone(now time.Time, p *FlushPlan, outcome Outcome) AckList {
+	switch outcome {
+	case FlushCommitted:
+		return h.commit(now, p)
+	case FlushUnknown:
+		h.flushFailing, h.unresolved = true, true
+		return nil
+	case FlushConflict:
+		h.unresolved = true
+		h.lastFlush = now.Add(conflictRetry - UrgentFlushInterval)
+	case FlushFailed:
+		h.flushFailing = true
+	}
+	h.candidates = slices.DeleteFunc(h.candidates, func(c *FlushPlan) bool { return c == p })
+	h.updateHeld()
+	return nil
+}
+
+// ResolveFlush tells the holder what the account record is. A flush that has not
+// taken effect may still do so until a later one does, so what it returns to the
+// treasury stays set aside. It fails with ErrDeposed after a takeover.
+func (h *Holder) ResolveFlush(now time.Time, record *AccountRecord) (AckList, error) {
+	h.ObserveEpoch(record.Epoch)
+	if h.deposed {
+		return nil, ErrDeposed
+	}
+	if record.FlushSeq == h.committedSeq {
+		h.unresolved = false
+		return nil, nil
+	}
+	for _, p := range h.candidates {
+		if p.Seq == record.FlushSeq {
+			return h.commit(now, p), nil
+		}
+	}
+	err := violated("account", "", "record has flush %d, expected %d", record.FlushSeq, h.committedSeq)
+	h.violate(err)
+	return nil, err
+}
+
+// commit applies a plan that took effect.
+func (h *Holder) commit(now time.Time, p *FlushPlan) AckList {
+	h.committedSeq, h.flushedAt = p.Seq, now
+	h.candidates, h.unresolved, h.flushFailing = nil, false, false
+	var acks AckList
+	for _, s := range p.slots {
+		l := h.lots[s.mark]
+		held := l.pending[s.slot]
+		delete(l.pending, s.slot)
+		l.durable.Add(s.slot)
+		l.durableBilled += held.bill.Amount
+		l.budget.spent += held.bill.Amount
+		l.budget.pending--
+		if held.agent != "" {
+			acks = acks.add(held.agent, held.bill.Attempt)
+		}
+	}
+	for _, mark := range p.retired {
+		h.dropLot(h.lots[mark])
+	}
+	for id, n := range p.losses {
+		h.budgets[id].losses = slices.Delete(h.budgets[id].losses, 0, n)
+	}
+	for id, amount := range p.thaw {
+		h.budgets[id].thaw -= amount
+	}
+	for id, m := range p.moves {
+		h.commitMove(h.budgets[id], m)
+	}
+	h.dropEmptyBudgets(now)
+	h.updateHeld()
+	return acks
+}
+
+func (h *Holder) commitMove(b *budgetState, m move) {
+	b.drawn += m.draw - m.back
+	b.returnAsk = max(0, b.returnAsk-m.back)
+	if m.draw > 0 {
+		b.drawTried = time.Time{}
+	}
+	if m.fold {
+		b.drawn -= m.spent + m.lost
+		b.spent -= m.spent
+		b.closedBilled -= m.spent
+		b.lost -= m.lost
+	}
+}
+
+// dropEmptyBudgets forgets budgets that have nothing here.
+func (h *Holder) dropEmptyBudgets(now time.Time) {
+	for id, b := range h.budgets {
+		if b.drawn == 0 && b.lots == 0 && b.pending == 0 && b.stillUnmet(now) == 0 && !now.Before(b.retryAt) {
+			delete(h.budgets, id)
+		}
+	}
+}
+
+// Seal stops the holder for a planned stop: it answers every exchange with
+// NotHolder from now on. After one more flush its record is exact, and the
+// successor has nothing to reconcile. It fails with ErrBusy while a fence or a
+// reconciliation is in progress, or a flush is open; the successor then
+// reconciles as after a failure.
+func (h *Holder) Seal() error {
+	if h.recon != nil || h.unresolved || len(h.candidates) > 0 {
+		return ErrBusy
+	}
+	for _, rs := range h.routers {
+		if rs.fence != nil {
+			return ErrBusy
+		}
+	}
+	h.sealed = true
+	return nil
+}
+
+// Sealed reports whether Seal has succeeded.
+func (h *Holder) Sealed() bool { return h.sealed }
+
+// Demand returns the region's demand for a budget in tokens/s.
+func (h *Holder) Demand(id ID) float64 {
+	if b := h.budgets[id]; b != nil && !math.IsNaN(b.demand) {
+		return b.demand
+	}
+	return 0
+}
+
+// PendingBills returns the number of accepted bills that are not durable.
+func (h *Holder) PendingBills() int {
+	n := 0
+	for _, b := range h.budgets {
+		n += b.pending
+	}
+	return n
+}
--- /dev/null
+++ b/internal/budget/policy.go
@@ -0,0 +1,118 @@
+package budget
+
+import (
+	"math"
+	"time"
+)
+
+// Times of the design page.
+const (
+	// IdleAfter is when an unused lot is closed and an idle region returns its
+	// share.
+	IdleAfter = 30 * time.Second
+	// FlushInterval is the time between periodic flushes of an active account.
+	FlushInterval = 60 * time.Second
+	// UrgentFlushInterval is the least time between two flushes of an account.
+	UrgentFlushInterval = time.Second
+	// conflictRetry is the time until a flush that lost a race is repeated.
+	conflictRetry = 100 * time.Millisecond
+	// exhaustedRetry is how long a holder waits before it reads the treasury
+	// again for a budget that had nothing left. It keeps a budget that is spent
+	// from costing a store call per second.
+	exhaustedRetry = 5 * time.Second
+	// recallFor is how long a recall stays in force after an unmet request.
+	recallFor = 2 * time.Second
+	// returnAskFor is how long another region's request for a return counts.
+	returnAskFor = 5 * time.Second
+	// demandWindow is the time constant of the demand estimate.
+	demandWindow = 10 * time.Second
+	// boundMemory is how long the largest bound of a budget is remembered.
+	boundMemory = time.Minute
+	// keepSeconds of its own demand stay in a region that another one asks to
+	// return balance.
+	keepSeconds = 10
+	// lotBounds is the least lot size, in recent largest bounds.
+	lotBounds = 4
+)
+
+// Intervals of the wallet's exchanges.
+const (
+	// billInterval bounds how long a bill waits at a router before it is
+	// reported. The agent keeps it meanwhile.
+	billInterval = 5 * time.Second
+	// pendingInterval is the time between questions whether bills are durable.
+	pendingInterval = 15 * time.Second
+	// missingRetry is the time until an unmet wish is repeated.
+	missingRetry = 100 * time.Millisecond
+	// failedRetry is the time until an exchange that failed is repeated.
+	failedRetry = 200 * time.Millisecond
+	// refillInterval is the least time between two exchanges that only enlarge
+	// a lot in advance.
+	refillInterval = 100 * time.Millisecond
+	// scarceFor is how long a wallet keeps no more than it needs after a recall
+	// or an unmet wish.
+	scarceFor = 2 * time.Second
+)
+
+// Policy holds the deployment's choices. The zero value is weight 0.
+type Policy struct {
+	// RefusalWeight, from 0 to 100, is the weight of false refusals against
+	// amounts out of reach. It never changes what may be spent.
+	RefusalWeight int
+}
+
+func (p Policy) weight() float64 { return float64(min(max(p.RefusalWeight, 0), 100)) / 100 }
+
+// LotSeconds returns the lot size in seconds of demand: 3 s to 10 s.
+func (p Policy) LotSeconds() float64 { return 3 + 7*p.weight() }
+
+// GrantWait returns how long a caller waits for a grant: 200 ms to 1,500 ms.
+func (p Policy) GrantWait() time.Duration {
+	return 200*time.Millisecond + time.Duration(1300*p.weight())*time.Millisecond
+}
+
+// Reserve returns the part of a balance that stays unallocated: 10% to 0%.
+func (p Policy) Reserve(balance Tokens) Tokens {
+	return scale(balance, (1-p.weight())/10)
+}
+
+// scale multiplies an amount, rounding down and never leaving the range of an
+// amount.
+func scale(amount Tokens, factor float64) Tokens {
+	v := math.Floor(float64(amount) * factor)
+	if v <= 0 || math.IsNaN(v) {
+		return 0
+	}
+	if v >= math.MaxInt64/4 {
+		return math.MaxInt64 / 4
+	}
+	return Tokens(v)
+}
+
+// rate is an exponentially weighted estimate of tokens per second. A
+// reservation counts at once and its settlement corrects it to the bill.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) add(now time.Time, amount Tokens) {
+	r.value = r.decayed(now) + float64(amount)/demandWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) decayed(now time.Time) float64 {
+	dt := now.Sub(r.at)
+	if r.value == 0 || dt <= 0 {
+		return r.value
+	}
+	return r.value * math.Exp(-dt.Seconds()/demandWindow.Seconds())
+}
+
+// perSecond returns the estimate, 0 once it is below a token per minute.
+func (r *rate) perSecond(now time.Time) float64 {
+	if v := r.decayed(now); v > 1.0/60 {
+		return v
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/budget/record.go
@@ -0,0 +1,101 @@
+package budget
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// recordVersion is the first byte of every record in the store. A change that
+// older builds would misread raises it; a new optional field does not.
+const recordVersion = 1
+
+// recordHeaderBytes is the version byte and the CRC-32C of the body.
+const recordHeaderBytes = 5
+
+// Errors of decoding a record. A caller wraps them with the record's key.
+var (
+	// ErrDamaged means that the bytes are not what was written, or that the
+	// decoded amounts contradict each other. Nothing may overwrite the record.
+	ErrDamaged = errors.New("record is damaged")
+	// ErrRecordVersion means that a newer build wrote the record.
+	ErrRecordVersion = errors.New("record has an unknown version")
+)
+
+// InvariantError reports amounts that contradict each other. It means a fault
+// in the program or a damaged record, never a normal condition.
+type InvariantError struct {
+	// Where names the checked value, for example "treasury" or "lot".
+	Where  string
+	Budget ID
+	Detail string
+}
+
+// Error implements error.
+func (e *InvariantError) Error() string {
+	return fmt.Sprintf("invariant violated in %s, budget %q: %s", e.Where, e.Budget, e.Detail)
+}
+
+func violated(where string, id ID, format string, args ...any) error {
+	return &InvariantError{Where: where, Budget: id, Detail: fmt.Sprintf(format, args...)}
+}
+
+var (
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+	recordEnc  = mustEncMode()
+	recordDec  = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: 1 << 20,
+		MaxMapPairs:      1 << 20,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encodeRecord puts the version and the checksum before the CBOR form of body.
+func encodeRecord(body any) ([]byte, error) {
+	encoded, err := recordEnc.Marshal(body)
+	if err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	out := make([]byte, recordHeaderBytes, recordHeaderBytes+len(encoded))
+	out[0] = recordVersion
+	binary.BigEndian.PutUint32(out[1:], crc32.Checksum(encoded, castagnoli))
+	return append(out, encoded...), nil
+}
+
+// decodeRecord is the inverse of encodeRecord.
+func decodeRecord(data []byte, into any) error {
+	if len(data) < recordHeaderBytes {
+		return fmt.Errorf("%w: %d bytes are too short", ErrDamaged, len(data))
+	}
+	if data[0] != recordVersion {
+		return fmt.Errorf("%w: %d", ErrRecordVersion, data[0])
+	}
+	body := data[recordHeaderBytes:]
+	if sum := crc32.Checksum(body, castagnoli); sum != binary.BigEndian.Uint32(data[1:]) {
+		return fmt.Errorf("%w: checksum is %08x", ErrDamaged, sum)
+	}
+	if err := recordDec.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/budget/recover.go
@@ -0,0 +1,318 @@
+package budget
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Collected is what an agent answered to a collection for one account.
+type Collected struct {
+	Agent Incarnation
+	Bills []Bill
+	// Routers holds the boot of the router that each bill was made for.
+	Routers []Boot
+	Running []RunningAttempt
+	// AccountEpoch is the epoch that the agent was asked to enforce, 0 if none.
+	AccountEpoch uint64
+	// Fenced is the router that the agent was asked to refuse, for lots before
+	// FencedThrough; nil if none.
+	Fenced        *Incarnation
+	FencedThrough LotMark
+}
+
+// LostAgent is an agent whose memory of earlier requests is gone: its boot
+// changed, or it is no longer listed and stayed unreachable.
+type LostAgent struct {
+	Name string
+	// Before is when the holder's process learned of it, by its own clock. Lots
+	// opened later cannot have been used there. Zero means that all can.
+	Before time.Time
+}
+
+// FenceOrder is what every agent must be told about a dead router.
+type FenceOrder struct {
+	Router  Incarnation
+	Through LotMark // lots before this one are refused
+}
+
+// fenceState is the progress of fencing one router incarnation.
+type fenceState struct {
+	through LotMark
+	running map[string]int // per agent, requests in progress in fenced lots
+}
+
+// reconState is the progress of reconciling former epochs.
+type reconState struct {
+	running map[string][]RunningAttempt // per agent, as last collected
+}
+
+// BeginFence gives a router incarnation up: its lots are frozen, its exchanges
+// are answered with Fenced. The caller sends the order to every agent that the
+// router may have used, passes each answer to ApplyCollected, and repeats until
+// FinishFence succeeds. It returns false if the router has no lots.
+func (h *Holder) BeginFence(router Incarnation) (FenceOrder, bool) {
+	rs := h.routers[router]
+	if rs == nil || rs.openLots() == 0 || h.deposed || h.sealed {
+		return FenceOrder{}, false
+	}
+	if rs.fence == nil {
+		rs.fence = &fenceState{
+			through: LotMark{Epoch: h.epoch, Num: h.nextLot},
+			running: map[string]int{},
+		}
+	}
+	return FenceOrder{Router: router, Through: rs.fence.through}, true
+}
+
+// Fences returns the orders of all fences in progress.
+func (h *Holder) Fences() []FenceOrder {
+	var out []FenceOrder
+	for router, rs := range h.routers {
+		if rs.fence != nil {
+			out = append(out, FenceOrder{Router: router, Through: rs.fence.through})
+		}
+	}
+	return out
+}
+
+// ApplyCollected takes over what an agent knows. It returns the attempts whose
+// bills the agent may delete at once; the others follow from FlushDone.
+func (h *Holder) ApplyCollected(now time.Time, c Collected) AckList {
+	if h.deposed || h.sealed {
+		return nil
+	}
+	var acks AckList
+	for i, bill := range c.Bills {
+		if h.acceptCollected(bill, c.routerOf(i), c.Agent.Name) {
+			acks = acks.add(c.Agent.Name, bill.Attempt)
+		}
+	}
+	if c.Fenced != nil {
+		if rs := h.routers[*c.Fenced]; rs != nil && rs.fence != nil && !c.FencedThrough.Before(rs.fence.through) {
+			n := 0
+			for _, r := range c.Running {
+				if r.Router == *c.Fenced && r.Lot.Mark().Before(rs.fence.through) {
+					n++
+				}
+			}
+			rs.fence.running[c.Agent.Name] = n
+		}
+	}
+	if h.recon != nil && c.AccountEpoch >= h.epoch {
+		h.recon.running[c.Agent.Name] = slices.Clone(c.Running)
+	}
+	return acks
+}
+
+func (c *Collected) routerOf(i int) Boot {
+	if i < len(c.Routers) {
+		return c.Routers[i]
+	}
+	return Boot{}
+}
+
+// acceptCollected takes one bill over and reports whether the agent may forget
+// it at once.
+func (h *Holder) acceptCollected(bill Bill, boot Boot, agent string) bool {
+	mark := bill.Lot.Mark()
+	l := h.lots[mark]
+	if l == nil && h.maybeOpen(mark) {
+		l = h.addLot(mark, Incarnation{Boot: boot}, h.budget(bill.Budget), lotOrphan)
+	}
+	if l == nil || l.budget.id != bill.Budget {
+		h.counters.LateBills++
+		return true
+	}
+	return h.accept(l, bill, agent)
+}
+
+// FinishFence settles the lots of a fenced router. agents are all agents that
+// the router may have used; lost are those among them whose memory is gone. It
+// fails with ErrNotCollected or ErrStillRunning while something is missing.
+// What the lots did not use becomes free with the next flush, or Lost if an
+// agent's memory is gone.
+func (h *Holder) FinishFence(now time.Time, router Incarnation, agents []string, lost []LostAgent) error {
+	rs := h.routers[router]
+	if rs == nil || rs.fence == nil {
+		return ErrNoFence
+	}
+	gone := make([]LostAgent, 0, len(lost))
+	for _, name := range agents {
+		n, collected := rs.fence.running[name]
+		i := slices.IndexFunc(lost, func(a LostAgent) bool { return a.Name == name })
+		switch {
+		case collected && n == 0:
+		case i >= 0:
+			gone = append(gone, lost[i])
+		case collected:
+			return fmt.Errorf("%w: %d at agent %q", ErrStillRunning, n, name)
+		default:
+			return fmt.Errorf("%w: %q", ErrNotCollected, name)
+		}
+	}
+	for _, l := range rs.lots {
+		if l.phase != lotOpen {
+			continue
+		}
+		h.loseRest(now, l, gone)
+		l.budget.thaw += l.limit - l.billed
+		h.retire(l)
+	}
+	rs.fence = nil
+	return nil
+}
+
+// loseRest counts what a lot has not billed as lost if an agent that may have
+// used it has lost its memory.
+func (h *Holder) loseRest(now time.Time, l *lotState, gone []LostAgent) {
+	var names []string
+	for _, a := range gone {
+		if a.Before.IsZero() || l.opened.IsZero() || !l.opened.After(a.Before) {
+			names = append(names, a.Name)
+		}
+	}
+	rest := l.limit - l.billed
+	if len(names) == 0 || rest == 0 {
+		return
+	}
+	h.lose(now, l.budget, rest, l.id.Mark(), l.router, names)
+	l.setLimit(l.billed)
+}
+
+func (h *Holder) lose(now time.Time, b *budgetState, amount Tokens, mark LotMark, router Incarnation, agents []string) {
+	b.lost += amount
+	b.losses = append(b.losses, Loss{Budget: b.id, Amount: amount, Lot: mark, Router: router,
+		Agents: agents, UnixMilli: now.UnixMilli()})
+}
+
+// beginReconcile starts the reconciliation after a takeover, or finishes it at
+// once if there is no escrow whose use is unknown.
+func (h *Holder) beginReconcile(record *AccountRecord) {
+	for _, m := range record.Next {
+		if m.Epoch < h.epoch {
+			h.former = append(h.former, m)
+		}
+	}
+	if len(h.former) == 0 {
+		return
+	}
+	h.recon = &reconState{running: map[string][]RunningAttempt{}}
+	for _, b := range h.budgets {
+		if b.unreconciled > 0 {
+			return
+		}
+	}
+	h.endReconcile()
+}
+
+// maybeOpen reports whether a lot that is not listed may have been granted by a
+// former holder after its last flush.
+func (h *Holder) maybeOpen(mark LotMark) bool {
+	if h.recon == nil {
+		return false
+	}
+	for _, m := range h.former {
+		if m.Epoch == mark.Epoch {
+			return mark.Num >= m.Num
+		}
+	}
+	return false
+}
+
+// Reconciling reports whether escrow of former epochs is still unreconciled. The
+// caller asks every router for its lots (ApplyRouterLots) and then every agent,
+// with AccountEpoch set (ApplyCollected), until FinishReconcile succeeds.
+func (h *Holder) Reconciling() bool { return h.recon != nil }
+
+// ApplyRouterLots takes over the lots of a router that has adopted this epoch.
+// An answer that is late or repeated does no harm.
+func (h *Holder) ApplyRouterLots(now time.Time, router Incarnation, lots []LotReport) {
+	if h.deposed || h.sealed {
+		return
+	}
+	rs := h.router(router)
+	h.adopt(now, router, rs, lots)
+	for i := range lots {
+		l := h.lots[lots[i].Lot.Mark()]
+		if l == nil || l.router != router || l.phase != lotOpen {
+			continue
+		}
+		for _, bill := range lots[i].Bills {
+			h.accept(l, bill, "")
+		}
+	}
+}
+
+// Adopted reports whether a router's lots of former epochs are known.
+func (h *Holder) Adopted(router Incarnation) bool {
+	rs := h.routers[router]
+	return rs != nil && rs.adopted
+}
+
+// FinishReconcile ends the reconciliation. agents are all agents that requests
+// of former epochs may have run at, and lost are those among them whose memory
+// is gone. routersComplete is true if the caller is certain that every router
+// that may have had lots has answered. It fails with ErrNotCollected or
+// ErrStillRunning while something is missing. What is left unreconciled becomes
+// free with the next flush, or Lost if an agent's memory is gone and a router has not answered.
+// Lots that no router has reported are closed; their routers are refused by all
+// agents because no holder of this epoch has confirmed them.
+func (h *Holder) FinishReconcile(now time.Time, agents []string, lost []LostAgent, routersComplete bool) error {
+	if h.recon == nil {
+		return nil
+	}
+	var gone []string
+	for _, name := range agents {
+		running, collected := h.recon.running[name]
+		n := h.runningOrphans(running)
+		isLost := slices.ContainsFunc(lost, func(a LostAgent) bool { return a.Name == name })
+		switch {
+		case collected && n == 0:
+		case isLost:
+			gone = append(gone, name)
+		case collected:
+			return fmt.Errorf("%w: %d at agent %q", ErrStillRunning, n, name)
+		default:
+			return fmt.Errorf("%w: %q", ErrNotCollected, name)
+		}
+	}
+	for _, l := range h.lots {
+		routersComplete = routersComplete && l.phase != lotOrphan
+	}
+	for _, b := range h.budgets {
+		if len(gone) > 0 && !routersComplete && b.unreconciled > 0 {
+			h.lose(now, b, b.unreconciled, LotMark{}, Incarnation{}, gone)
+			b.unreconciled = 0
+		}
+		b.thaw += b.unreconciled
+		b.unreconciled = 0
+	}
+	h.endReconcile()
+	return nil
+}
+
+// runningOrphans counts the requests in lots that no router has reported.
+func (h *Holder) runningOrphans(running []RunningAttempt) int {
+	n := 0
+	for _, r := range running {
+		l := h.lots[r.Lot.Mark()]
+		if l == nil && h.maybeOpen(r.Lot.Mark()) || l != nil && l.phase == lotOrphan {
+			n++
+		}
+	}
+	return n
+}
+
+// endReconcile closes the lots that no router has reported.
+func (h *Holder) endReconcile() {
+	h.recon, h.former = nil, nil
+	for _, l := range h.lots {
+		switch {
+		case l.phase == lotOrphan:
+			h.retire(l)
+		case l.phase == lotRetired && len(l.pending) == 0:
+			h.dropLot(l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/budget/treasury.go
@@ -0,0 +1,255 @@
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+)
+
+// Bounds on what a treasury entry keeps.
+const (
+	// MaxTopUpIDs is how many top-up ids a budget remembers. A top-up repeated
+	// after this many others would count again.
+	MaxTopUpIDs = 32
+	// MaxTopUpIDBytes bounds one top-up id.
+	MaxTopUpIDBytes = 64
+	// MaxKeyHashes bounds the API keys of a budget.
+	MaxKeyHashes = 32
+	// keyHashBytes is the size of a SHA-256 hash.
+	keyHashBytes = 32
+)
+
+// Errors of treasury operations. None of them changes the treasury.
+var (
+	ErrNoBudget      = errors.New("no such budget")
+	ErrBudgetExists  = errors.New("budget exists")
+	ErrBadAmount     = errors.New("amount is not allowed")
+	ErrBadName       = errors.New("name or id is not allowed")
+	ErrTopUpMismatch = errors.New("top-up id was used with another amount")
+	ErrInsufficient  = errors.New("unallocated balance is too small")
+	ErrDrawnMismatch = errors.New("amount drawn differs between treasury and account")
+)
+
+// TopUpEntry is a top-up that a budget remembers.
+type TopUpEntry struct {
+	ID     string `cbor:"1,keyasint"`
+	Amount Tokens `cbor:"2,keyasint"`
+}
+
+// TreasuryBudget is the deployment-wide state of one budget.
+type TreasuryBudget struct {
+	// Paid is the sum of all top-ups.
+	Paid   Tokens       `cbor:"1,keyasint"`
+	TopUps []TopUpEntry `cbor:"2,keyasint,omitempty"` // oldest first
+	// Settled and Lost were folded in from idle region accounts.
+	Settled Tokens `cbor:"3,keyasint,omitempty"`
+	Lost    Tokens `cbor:"4,keyasint,omitempty"`
+	// Drawn is the escrow moved to each region, including what is spent there.
+	Drawn map[string]Tokens `cbor:"5,keyasint,omitempty"`
+	// Demand is each region's use in tokens/s, and Held its unspent escrow, as
+	// of the region's last write. Both only guide draws.
+	Demand    map[string]float64 `cbor:"6,keyasint,omitempty"`
+	KeyHashes [][]byte           `cbor:"7,keyasint,omitempty"`
+	Held      map[string]Tokens  `cbor:"8,keyasint,omitempty"`
+}
+
+// Unallocated returns what no region has drawn.
+func (b *TreasuryBudget) Unallocated() Tokens {
+	left := b.Paid - b.Settled - b.Lost
+	for _, drawn := range b.Drawn {
+		left -= drawn
+	}
+	return left
+}
+
+func (b *TreasuryBudget) clone() *TreasuryBudget {
+	c := *b
+	c.TopUps = slices.Clone(b.TopUps)
+	c.Drawn = maps.Clone(b.Drawn)
+	c.Demand = maps.Clone(b.Demand)
+	c.Held = maps.Clone(b.Held)
+	c.KeyHashes = slices.Clone(b.KeyHashes)
+	return &c
+}
+
+// Treasury is the record of a shard's budgets over all regions.
+type Treasury struct {
+	Shard   Shard                  `cbor:"1,keyasint"`
+	Budgets map[ID]*TreasuryBudget `cbor:"2,keyasint,omitempty"`
+}
+
+// NewTreasury returns an empty treasury.
+func NewTreasury(shard Shard) *Treasury {
+	return &Treasury{Shard: shard, Budgets: map[ID]*TreasuryBudget{}}
+}
+
+// Encode returns the record's bytes.
+func (t *Treasury) Encode() ([]byte, error) { return encodeRecord(t) }
+
+// DecodeTreasury is the inverse of Encode. It fails with ErrDamaged or
+// ErrRecordVersion.
+func DecodeTreasury(data []byte) (*Treasury, error) {
+	t := new(Treasury)
+	if err := decodeRecord(data, t); err != nil {
+		return nil, err
+	}
+	if t.Budgets == nil {
+		t.Budgets = map[ID]*TreasuryBudget{}
+	}
+	if err := t.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
+	return t, nil
+}
+
+// Clone returns a copy whose entries can be changed without changing t.
+func (t *Treasury) Clone() *Treasury {
+	c := &Treasury{Shard: t.Shard, Budgets: make(map[ID]*TreasuryBudget, len(t.Budgets))}
+	for id, b := range t.Budgets {
+		c.Budgets[id] = b.clone()
+	}
+	return c
+}
+
+// CreateBudget adds an empty budget. It fails with ErrBudgetExists or
+// ErrBadName.
+func (t *Treasury) CreateBudget(id ID) error {
+	if id.Workspace() == "" || id.Workspace() == string(id) || len(id) > 256 {
+		return fmt.Errorf("%w: budget %q", ErrBadName, id)
+	}
+	if t.Budgets[id] != nil {
+		return fmt.Errorf("%w: %q", ErrBudgetExists, id)
+	}
+	t.Budgets[id] = &TreasuryBudget{}
+	return nil
+}
+
+// get returns the entry of id or ErrNoBudget.
+func (t *Treasury) get(id ID) (*TreasuryBudget, error) {
+	if b := t.Budgets[id]; b != nil {
+		return b, nil
+	}
+	return nil, fmt.Errorf("%w: %q", ErrNoBudget, id)
+}
+
+// TopUp adds a payment once per topUp id and reports whether it was new. The
+// same id with another amount fails with ErrTopUpMismatch.
+func (t *Treasury) TopUp(id ID, topUp string, amount Tokens) (bool, error) {
+	b, err := t.get(id)
+	if err != nil {
+		return false, err
+	}
+	if topUp == "" || len(topUp) > MaxTopUpIDBytes {
+		return false, fmt.Errorf("%w: top-up id of %d bytes", ErrBadName, len(topUp))
+	}
+	if amount <= 0 || b.Paid > math.MaxInt64-amount {
+		return false, fmt.Errorf("%w: top-up of %d tokens", ErrBadAmount, amount)
+	}
+	for _, e := range b.TopUps {
+		if e.ID != topUp {
+			continue
+		}
+		if e.Amount != amount {
+			return false, fmt.Errorf("%w: %q is %d tokens", ErrTopUpMismatch, topUp, e.Amount)
+		}
+		return false, nil
+	}
+	b.Paid += amount
+	b.TopUps = append(b.TopUps, TopUpEntry{ID: topUp, Amount: amount})
+	if n := len(b.TopUps) - MaxTopUpIDs; n > 0 {
+		b.TopUps = slices.Delete(b.TopUps, 0, n)
+	}
+	return true, nil
+}
+
+// SetKeys replaces the SHA-256 hashes of the budget's API keys.
+func (t *Treasury) SetKeys(id ID, hashes [][]byte) error {
+	b, err := t.get(id)
+	if err != nil {
+		return err
+	}
+	if len(hashes) > MaxKeyHashes {
+		return fmt.Errorf("%w: %d key hashes", ErrBadAmount, len(hashes))
+	}
+	for _, h := range hashes {
+		if len(h) != keyHashBytes {
+			return fmt.Errorf("%w: key hash of %d bytes", ErrBadName, len(h))
+		}
+	}
+	b.KeyHashes = slices.Clone(hashes)
+	return nil
+}
+
+// Draw moves amount from the unallocated balance to a region. It fails with
+// ErrInsufficient if the balance is smaller.
+func (t *Treasury) Draw(id ID, region string, amount Tokens) error {
+	b, err := t.get(id)
+	if err != nil {
+		return err
+	}
+	if amount < 0 {
+		return fmt.Errorf("%w: draw of %d tokens", ErrBadAmount, amount)
+	}
+	if left := b.Unallocated(); amount > left {
+		return fmt.Errorf("%w: %d of %d tokens", ErrInsufficient, amount, left)
+	}
+	if b.Drawn == nil {
+		b.Drawn = map[string]Tokens{}
+	}
+	b.Drawn[region] += amount
+	return nil
+}
+
+// Return moves amount from a region back to the unallocated balance.
+func (t *Treasury) Return(id ID, region string, amount Tokens) error {
+	b, err := t.get(id)
+	if err != nil {
+		return err
+	}
+	if amount < 0 || amount > b.Drawn[region] {
+		return fmt.Errorf("%w: return of %d of %d tokens", ErrBadAmount, amount, b.Drawn[region])
+	}
+	b.Drawn[region] -= amount
+	return nil
+}
+
+// Fold takes over the spend and losses of a region whose account entry is
+// removed in the same transaction. The region must have nothing else drawn.
+func (t *Treasury) Fold(id ID, region string, spent, lost Tokens) error {
+	b, err := t.get(id)
+	if err != nil {
+		return err
+	}
+	if spent < 0 || lost < 0 || spent+lost != b.Drawn[region] {
+		return fmt.Errorf("%w: fold of %d spent and %d lost with %d drawn",
+			ErrDrawnMismatch, spent, lost, b.Drawn[region])
+	}
+	b.Settled += spent
+	b.Lost += lost
+	delete(b.Drawn, region)
+	delete(b.Demand, region)
+	delete(b.Held, region)
+	return nil
+}
+
+// Check returns an InvariantError if the amounts contradict each other.
+func (t *Treasury) Check() error {
+	for id, b := range t.Budgets {
+		if b == nil {
+			return violated("treasury", id, "entry is empty")
+		}
+		if b.Paid < 0 || b.Settled < 0 || b.Lost < 0 {
+			return violated("treasury", id, "paid %d, settled %d, lost %d", b.Paid, b.Settled, b.Lost)
+		}
+		left := b.Paid
+		for _, part := range append(slices.Collect(maps.Values(b.Drawn)), b.Settled, b.Lost) {
+			if part < 0 || part > left {
+				return violated("treasury", id, "parts exceed the %d tokens paid", b.Paid)
+			}
+			left -= part
+		}
+	}
+	return nil
+}
--- a/internal/budget/types.go
+++ b/internal/budget/types.go
@@ -133,6 +133,9 @@
 	Limit Tokens `cbor:"11,keyasint,omitempty"`
 	// Billed is the sum of the lot's bills known to be durable.
 	Billed Tokens `cbor:"12,keyasint,omitempty"`
+	// Pending holds the slots of bills that this holder already has and that
+	// the router does not know to be durable. It saves sending the bills again.
+	Pending []Slot `cbor:"13,keyasint,omitempty"`
 }
 
 // ExchangeRequest goes from a router to the holder of an account.
--- /dev/null
+++ b/internal/budget/wallet.go
@@ -0,0 +1,388 @@
+package budget
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// ErrLotGone means that the wallet no longer has the hold's lot, because its
+// holder closed it or gave the router up. The agent's bill reaches the holder
+// without the router.
+var ErrLotGone = errors.New("lot is gone")
+
+// Hold is a reservation in a lot for one request.
+type Hold struct {
+	Budget ID
+	Lot    LotID
+	Slot   Slot
+	Amount Tokens
+}
+
+// WalletCounters counts events that a wallet has seen since it started.
+type WalletCounters struct {
+	// OverHoldBills were cut to their reservation. Each is a fault of an agent.
+	OverHoldBills int64
+	// IgnoredReplies were late, or came from a replaced holder.
+	IgnoredReplies int64
+	// DroppedLots were closed by their holder while they had reservations.
+	DroppedLots int64
+	// Violations counts invariant errors; LastViolation is the latest.
+	Violations    int64
+	LastViolation error
+}
+
+// walletBill is a bill that is not known to be durable.
+type walletBill struct {
+	bill  Bill
+	agent string // empty if no agent has a copy
+	// epoch is the epoch of the holder that has the bill, 0 if none has.
+	epoch uint64
+}
+
+// walletLot is a lot at its router.
+type walletLot struct {
+	id            LotID
+	budget        *walletBudget
+	limit         Tokens
+	billed        Tokens // sum of all bills
+	durableBilled Tokens // sum of the bills known to be durable
+	reserved      Tokens
+	lastSlot      Slot
+	holds         map[Slot]Tokens
+	bills         map[Slot]*walletBill
+	unused        []Slot // not reported with success
+	unacked       map[uuid.UUID]string
+	renewedAt     time.Time
+	epoch         uint64 // of the holder that confirmed the lot last
+	lastUse       time.Time
+	dirtyAt       time.Time // the oldest bill or unused slot to report; zero if none
+}
+
+func (l *walletLot) free() Tokens { return l.limit - l.billed - l.reserved }
+
+// walletBudget is a budget that the router uses or waits for.
+type walletBudget struct {
+	id          ID
+	account     *walletAccount
+	lot         *walletLot
+	demand      rate
+	bound       Tokens // largest recent reservation
+	boundAt     time.Time
+	waiting     Tokens
+	missing     MissingReason
+	scarceUntil time.Time
+	recalled    bool
+	keys        [][]byte
+	keysAt      time.Time
+	wantKeys    bool
+	lastUse     time.Time
+}
+
+// walletAccount is an account that the router deals with.
+type walletAccount struct {
+	account  Account
+	epoch    uint64
+	seq      uint64
+	budgets  map[ID]*walletBudget
+	inFlight *sentExchange
+	urgent   bool
+	lastSent time.Time
+	retryAt  time.Time
+}
+
+// Wallet decides for one router incarnation, over all budgets. It is not safe
+// for concurrent use.
+type Wallet struct {
+	self     Incarnation
+	region   string
+	shards   uint32
+	policy   Policy
+	budgets  map[ID]*walletBudget
+	accounts map[Account]*walletAccount
+	lots     map[LotID]*walletLot
+	unacked  map[uuid.UUID]*walletLot
+	counters WalletCounters
+}
+
+// NewWallet returns an empty wallet. shards is the deployment's number of
+// shards, and region the router's own.
+func NewWallet(self Incarnation, region string, shards uint32, policy Policy) *Wallet {
+	return &Wallet{
+		self: self, region: region, shards: shards, policy: policy,
+		budgets: map[ID]*walletBudget{}, accounts: map[Account]*walletAccount{},
+		lots: map[LotID]*walletLot{}, unacked: map[uuid.UUID]*walletLot{},
+	}
+}
+
+// SetPolicy changes the policy, after a change of configuration.
+func (w *Wallet) SetPolicy(policy Policy) { w.policy = policy }
+
+// Counters returns what was counted so far.
+func (w *Wallet) Counters() WalletCounters { return w.counters }
+
+// AccountOf returns the account that a budget is drawn on in the router's
+// region.
+func (w *Wallet) AccountOf(id ID) Account {
+	return Account{Shard: ShardOf(id, w.shards), Region: w.region}
+}
+
+// Epoch returns the highest epoch of an account that the wallet has adopted.
+func (w *Wallet) Epoch(account Account) uint64 {
+	if a := w.accounts[account]; a != nil {
+		return a.epoch
+	}
+	return 0
+}
+
+func (w *Wallet) account(account Account) *walletAccount {
+	a := w.accounts[account]
+	if a == nil {
+		a = &walletAccount{account: account, budgets: map[ID]*walletBudget{}}
+		w.accounts[account] = a
+	}
+	return a
+}
+
+func (w *Wallet) budget(id ID) *walletBudget {
+	b := w.budgets[id]
+	if b == nil {
+		a := w.account(w.AccountOf(id))
+		b = &walletBudget{id: id, account: a}
+		w.budgets[id] = b
+		a.budgets[id] = b
+	}
+	return b
+}
+
+// Reserve takes a slot of amount tokens, or returns how much is missing. The
+// caller then calls SetWaiting and exchanges.
+func (w *Wallet) Reserve(now time.Time, id ID, amount Tokens) (hold Hold, missing Tokens, ok bool) {
+	b := w.budget(id)
+	b.lastUse = now
+	if amount >= b.bound || now.Sub(b.boundAt) > boundMemory {
+		b.bound, b.boundAt = amount, now
+	}
+	l := b.lot
+	if amount < 0 || l == nil || l.free() < amount {
+		missing = max(amount, 1)
+		if l != nil {
+			missing = max(1, amount-l.free())
+		}
+		return Hold{}, missing, false
+	}
+	l.lastSlot++
+	l.holds[l.lastSlot] = amount
+	l.reserved += amount
+	l.lastUse = now
+	b.demand.add(now, amount)
+	return Hold{Budget: id, Lot: l.id, Slot: l.lastSlot, Amount: amount}, 0, true
+}
+
+// SetWaiting tells the wallet the sum of the reservations that callers wait for
+// now; 0 if none waits.
+func (w *Wallet) SetWaiting(now time.Time, id ID, sum Tokens) {
+	b := w.budget(id)
+	b.waiting = sum
+	if sum > 0 {
+		b.lastUse = now
+	}
+}
+
+// Missing says why the last wish for a budget was not met.
+func (w *Wallet) Missing(id ID) MissingReason {
+	if b := w.budgets[id]; b != nil {
+		return b.missing
+	}
+	return MissingNothing
+}
+
+// take ends a hold and returns its lot.
+func (w *Wallet) take(now time.Time, hold Hold) (*walletLot, error) {
+	l := w.lots[hold.Lot]
+	if l == nil {
+		return nil, ErrLotGone
+	}
+	amount, ok := l.holds[hold.Slot]
+	if !ok {
+		return nil, fmt.Errorf("%w: slot %d was settled or released", ErrLotGone, hold.Slot)
+	}
+	delete(l.holds, hold.Slot)
+	l.reserved -= amount
+	l.lastUse, l.budget.lastUse = now, now
+	if l.dirtyAt.IsZero() {
+		l.dirtyAt = now
+	}
+	return l, nil
+}
+
+// Settle replaces a hold by its bill. agent is the address of the agent that has
+// a copy of the bill or may still make one, empty if none can. A bill above the
+// reservation is cut to it. It fails with ErrLotGone if the lot was dropped, and
+// then nothing is left to do.
+func (w *Wallet) Settle(now time.Time, hold Hold, bill Bill, agent string) error {
+	l, err := w.take(now, hold)
+	if err != nil {
+		return err
+	}
+	if bill.Amount > hold.Amount || bill.Amount < 0 {
+		w.counters.OverHoldBills++
+		bill.Amount = min(max(bill.Amount, 0), hold.Amount)
+	}
+	bill.Lot, bill.Slot, bill.Budget = hold.Lot, hold.Slot, hold.Budget
+	l.budget.demand.add(now, bill.Amount-hold.Amount)
+	if bill.Amount == 0 && !bill.Estimated {
+		l.unused = append(l.unused, hold.Slot)
+		return nil
+	}
+	l.billed += bill.Amount
+	l.bills[hold.Slot] = &walletBill{bill: bill, agent: agent}
+	return nil
+}
+
+// Release gives a hold back. It is allowed only if the attempts certainly did
+// not run and never will.
+func (w *Wallet) Release(now time.Time, hold Hold) error {
+	l, err := w.take(now, hold)
+	if err != nil {
+		return err
+	}
+	l.budget.demand.add(now, -hold.Amount)
+	l.unused = append(l.unused, hold.Slot)
+	return nil
+}
+
+// Ready reports whether the hold's lot may be used on an agent session that was
+// established at the given time: the lot must have been renewed by an exchange
+// that began later. Otherwise the caller calls Renew and exchanges. It fails
+// with ErrLotGone.
+func (w *Wallet) Ready(hold Hold, established time.Time) (bool, error) {
+	l := w.lots[hold.Lot]
+	if l == nil {
+		return false, ErrLotGone
+	}
+	return l.renewedAt.After(established), nil
+}
+
+// LotEpoch returns the epoch of the holder that confirmed the hold's lot last. It
+// goes into ExecRequest.AccountEpoch. It is lower than Epoch until the holder of
+// a new epoch has confirmed the lot.
+func (w *Wallet) LotEpoch(hold Hold) uint64 {
+	if l := w.lots[hold.Lot]; l != nil {
+		return l.epoch
+	}
+	return 0
+}
+
+// Renew makes an exchange for the account due at once.
+func (w *Wallet) Renew(account Account) { w.account(account).urgent = true }
+
+// Keys returns the SHA-256 hashes of a budget's API keys as last heard, and when
+// that was. If they are missing or too old the caller calls WantKeys and
+// exchanges.
+func (w *Wallet) Keys(id ID) (hashes [][]byte, at time.Time) {
+	if b := w.budgets[id]; b != nil {
+		return b.keys, b.keysAt
+	}
+	return nil, time.Time{}
+}
+
+// WantKeys makes the next exchange ask for a budget's key hashes.
+func (w *Wallet) WantKeys(now time.Time, id ID) {
+	b := w.budget(id)
+	b.wantKeys, b.lastUse = true, now
+}
+
+// MarkAgentAcked records that an agent has deleted its copies of the attempts'
+// bills, or has lost its memory of them.
+func (w *Wallet) MarkAgentAcked(attempts []uuid.UUID) {
+	for _, id := range attempts {
+		if l := w.unacked[id]; l != nil {
+			delete(l.unacked, id)
+			delete(w.unacked, id)
+		}
+	}
+}
+
+// PendingAcks lists the durable bills whose agents have not confirmed that they
+// deleted them. The caller repeats AckBills for them now and then, and calls
+// MarkAgentAcked for an agent that is gone.
+func (w *Wallet) PendingAcks() AckList {
+	var acks AckList
+	for id, l := range w.unacked {
+		acks = acks.add(l.unacked[id], id)
+	}
+	return acks
+}
+
+// Idle reports whether nothing is left to report: no reservations, all bills
+// durable and acknowledged. A drain waits for it.
+func (w *Wallet) Idle() bool {
+	for _, l := range w.lots {
+		if l.reserved > 0 || len(l.holds)+len(l.bills)+len(l.unacked) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// LotBalance is the state of a budget's lot at its router, in tokens.
+type LotBalance struct{ Limit, Billed, Reserved Tokens }
+
+// Balance returns the state of a budget's lot, and false if it has none.
+func (w *Wallet) Balance(id ID) (LotBalance, bool) {
+	b := w.budgets[id]
+	if b == nil || b.lot == nil {
+		return LotBalance{}, false
+	}
+	return LotBalance{Limit: b.lot.limit, Billed: b.lot.billed, Reserved: b.lot.reserved}, true
+}
+
+// dropLot forgets a lot with its reservations and bills.
+func (w *Wallet) dropLot(l *walletLot) {
+	if len(l.holds)+len(l.bills) > 0 {
+		w.counters.DroppedLots++
+	}
+	for id := range l.unacked {
+		delete(w.unacked, id)
+	}
+	delete(w.lots, l.id)
+	l.budget.lot = nil
+}
+
+// Prune forgets budgets that were not used for a minute and accounts without
+// budgets keep only their epoch.
+func (w *Wallet) Prune(now time.Time) {
+	for id, b := range w.budgets {
+		if b.lot == nil && b.waiting == 0 && now.Sub(b.lastUse) > boundMemory {
+			delete(w.budgets, id)
+			delete(b.account.budgets, id)
+		}
+	}
+}
+
+// Check returns an InvariantError if the wallet's amounts contradict each other.
+func (w *Wallet) Check() error {
+	for id, l := range w.lots {
+		var reserved, bills Tokens
+		for _, amount := range l.holds {
+			reserved += amount
+		}
+		for _, b := range l.bills {
+			bills += b.bill.Amount
+		}
+		if l.id != id || l.budget.lot != l {
+			return violated("wallet", l.budget.id, "lot %v is filed wrongly", id)
+		}
+		if reserved != l.reserved || l.durableBilled+bills != l.billed || l.free() < 0 {
+			return violated("wallet", l.budget.id, "limit %d, billed %d, durable %d, reserved %d and %d",
+				l.limit, l.billed, l.durableBilled, l.reserved, reserved)
+		}
+	}
+	if w.counters.Violations > 0 {
+		return w.counters.LastViolation
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/budget/walletexchange.go
@@ -0,0 +1,402 @@
+package budget
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// sentExchange is an exchange in flight.
+type sentExchange struct {
+	seq    uint64
+	sentAt time.Time
+	sent   []sentReport
+}
+
+// sentReport is what an exchange said about one budget.
+type sentReport struct {
+	budget *walletBudget
+	lot    *walletLot // nil if a lot was asked for
+	bills  []*walletBill
+	unused int
+}
+
+// comfort is what a lot should have unused: seconds of demand and a few of the
+// largest recent reservations. It is 0 while the budget is scarce or idle.
+func (w *Wallet) comfort(now time.Time, b *walletBudget) Tokens {
+	if now.Before(b.scarceUntil) || now.Sub(b.lastUse) >= IdleAfter {
+		return 0
+	}
+	size := scale(1, b.demand.perSecond(now)*w.policy.LotSeconds())
+	if now.Sub(b.boundAt) <= boundMemory {
+		size = max(size, lotBounds*b.bound)
+	}
+	return size
+}
+
+// closable reports whether a lot can be given back for good.
+func (b *walletBudget) closable(now time.Time) bool {
+	l := b.lot
+	return b.waiting == 0 && len(l.holds)+len(l.bills)+len(l.unused)+len(l.unacked) == 0 &&
+		now.Sub(l.lastUse) >= IdleAfter
+}
+
+// DueAt returns when the next exchange for an account is worth its cost, and
+// false if there is nothing to say or one is in flight.
+func (w *Wallet) DueAt(now time.Time, account Account) (time.Time, bool) {
+	a := w.accounts[account]
+	if a == nil || a.inFlight != nil {
+		return time.Time{}, false
+	}
+	var due time.Time
+	want := func(t time.Time) {
+		if due.IsZero() || t.Before(due) {
+			due = t
+		}
+	}
+	if a.urgent {
+		want(now)
+	}
+	for _, b := range a.budgets {
+		w.budgetDue(now, a, b, want)
+	}
+	if due.IsZero() {
+		return due, false
+	}
+	if due.Before(a.retryAt) {
+		due = a.retryAt
+	}
+	return due, true
+}
+
+func (w *Wallet) budgetDue(now time.Time, a *walletAccount, b *walletBudget, want func(time.Time)) {
+	if b.wantKeys {
+		want(now)
+	}
+	l := b.lot
+	if l == nil {
+		if b.waiting > 0 {
+			want(now)
+		}
+		return
+	}
+	comfort := w.comfort(now, b)
+	switch {
+	case b.waiting > l.free() || b.recalled:
+		want(now)
+	case l.free() < comfort/2:
+		want(a.lastSent.Add(refillInterval))
+	case l.free() > 2*comfort+b.waiting && l.free() > 0:
+		want(a.lastSent.Add(billInterval))
+	}
+	if !l.dirtyAt.IsZero() {
+		want(l.dirtyAt.Add(billInterval))
+	}
+	if len(l.bills) > 0 {
+		want(a.lastSent.Add(pendingInterval))
+	}
+	if len(l.holds)+len(l.bills)+len(l.unused)+len(l.unacked) == 0 {
+		want(l.lastUse.Add(IdleAfter))
+	}
+	want(a.lastSent.Add(IdleAfter))
+}
+
+// Due lists the accounts whose exchange is due, and returns when the next one
+// will be; that is zero if nothing is planned.
+func (w *Wallet) Due(now time.Time) (due []Account, next time.Time) {
+	for account := range w.accounts {
+		t, ok := w.DueAt(now, account)
+		switch {
+		case !ok:
+		case !t.After(now):
+			due = append(due, account)
+		case next.IsZero() || t.Before(next):
+			next = t
+		}
+	}
+	return due, next
+}
+
+// BuildExchange makes the next exchange with an account's holder. It returns
+// false if one is in flight. It lists all lots of the account, because the holder
+// takes a lot that is not listed as unknown to the router.
+func (w *Wallet) BuildExchange(now time.Time, account Account) (ExchangeRequest, bool) {
+	a := w.account(account)
+	if a.inFlight != nil {
+		return ExchangeRequest{}, false
+	}
+	a.seq++
+	a.lastSent, a.urgent = now, false
+	flight := &sentExchange{seq: a.seq, sentAt: now}
+	req := ExchangeRequest{Account: account, Router: w.self, Epoch: a.epoch, Seq: a.seq}
+	for _, b := range a.budgets {
+		if b.lot == nil && b.waiting == 0 && !b.wantKeys {
+			continue
+		}
+		report, sent := w.report(now, b)
+		if b.lot != nil {
+			w.adjust(now, b, &report)
+		}
+		b.recalled = false
+		req.Lots = append(req.Lots, report)
+		flight.sent = append(flight.sent, sent)
+	}
+	a.inFlight = flight
+	return req, true
+}
+
+// report describes a budget's lot, or asks for one.
+func (w *Wallet) report(now time.Time, b *walletBudget) (LotReport, sentReport) {
+	r := LotReport{Budget: b.id, DemandPerSecond: b.demand.perSecond(now)}
+	sent := sentReport{budget: b, lot: b.lot}
+	l := b.lot
+	if l == nil {
+		if b.waiting > 0 {
+			r.Want = b.waiting + w.comfort(now, b)
+		}
+		return r, sent
+	}
+	r.Lot, r.Want, r.Reserved = l.id, l.limit, l.reserved
+	r.Limit, r.Billed = l.limit, l.durableBilled
+	r.Unused = slices.Clone(l.unused)
+	sent.unused = len(l.unused)
+	for slot, bill := range l.bills {
+		if bill.epoch != 0 && bill.epoch == b.account.epoch {
+			r.Pending = append(r.Pending, slot)
+			continue
+		}
+		r.Bills = append(r.Bills, bill.bill)
+		sent.bills = append(sent.bills, bill)
+	}
+	return r, sent
+}
+
+// adjust decides on the limit to ask for or to keep. A lower limit holds for the
+// wallet at once, because the holder may grant the rest to others.
+func (w *Wallet) adjust(now time.Time, b *walletBudget, r *LotReport) {
+	l := b.lot
+	need := l.billed + l.reserved + b.waiting
+	comfort := w.comfort(now, b)
+	lower := l.limit
+	switch {
+	case b.closable(now):
+		r.Close = true
+		lower = l.billed
+	case b.waiting > l.free() || l.free() < comfort/2:
+		r.Want = need + comfort
+	case b.recalled || l.free() > 2*comfort+b.waiting:
+		lower = need + comfort
+	}
+	if lower < l.limit {
+		r.Release, r.Lower, r.Want = true, lower, lower
+		l.limit = lower
+		r.Limit = lower
+	}
+}
+
+// ReplyResult is what an answer changed.
+type ReplyResult struct {
+	// Applied is false if the answer was late or came from a replaced holder.
+	Applied bool
+	// NotHolder means that the caller must look for the holder again.
+	NotHolder bool
+	// Fenced means that all lots of the account were dropped.
+	Fenced bool
+	// Durable lists the bills that are durable now, by agent address. The caller
+	// sends AckBills and then calls MarkAgentAcked.
+	Durable AckList
+	// Budgets lists the budgets in the answer, so that waiting callers can try
+	// again or be refused.
+	Budgets []ID
+}
+
+// ApplyReply takes over the answer to the exchange with the given number. err is
+// the error of a call without an answer, whose effect on the holder is unknown.
+func (w *Wallet) ApplyReply(now time.Time, account Account, seq uint64, reply *ExchangeReply, err error) ReplyResult {
+	a := w.accounts[account]
+	if a == nil || a.inFlight == nil || a.inFlight.seq != seq {
+		w.counters.IgnoredReplies++
+		return ReplyResult{}
+	}
+	flight := a.inFlight
+	a.inFlight = nil
+	switch {
+	case err != nil || reply == nil:
+		a.retryAt = now.Add(failedRetry)
+		return ReplyResult{Budgets: flight.unreachable()}
+	case reply.Seq != seq || reply.Epoch < a.epoch:
+		w.counters.IgnoredReplies++
+		a.retryAt = now.Add(failedRetry)
+		return ReplyResult{NotHolder: true, Budgets: flight.unreachable()}
+	case reply.NotHolder:
+		w.adoptEpoch(a, reply.Epoch)
+		a.retryAt = now.Add(failedRetry)
+		return ReplyResult{Applied: true, NotHolder: true, Budgets: flight.unreachable()}
+	}
+	w.adoptEpoch(a, reply.Epoch)
+	if reply.Fenced {
+		w.dropAll(a)
+		a.retryAt = now.Add(failedRetry)
+		return ReplyResult{Applied: true, Fenced: true, Budgets: flight.unreachable()}
+	}
+	result := ReplyResult{Applied: true}
+	for i := range reply.Lots {
+		w.applyGrant(now, a, flight, &reply.Lots[i], &result)
+	}
+	return result
+}
+
+// unreachable marks the budgets of a failed exchange and returns them.
+func (f *sentExchange) unreachable() []ID {
+	ids := make([]ID, 0, len(f.sent))
+	for _, s := range f.sent {
+		s.budget.missing = MissingUnreachable
+		ids = append(ids, s.budget.id)
+	}
+	return ids
+}
+
+// applyGrant takes over the answer about one lot.
+func (w *Wallet) applyGrant(now time.Time, a *walletAccount, flight *sentExchange, g *LotGrant, result *ReplyResult) {
+	i := slices.IndexFunc(flight.sent, func(s sentReport) bool {
+		if s.budget.id != g.Budget {
+			return false
+		}
+		return s.lot == nil || s.lot.id == g.Lot
+	})
+	if i < 0 {
+		return
+	}
+	sent := &flight.sent[i]
+	b := sent.budget
+	result.Budgets = append(result.Budgets, b.id)
+	w.noteGrant(now, a, b, g)
+	l := sent.lot
+	switch {
+	case l == nil && g.Lot.IsZero():
+		return
+	case l == nil && b.lot == nil && !g.Closed:
+		l = w.addLot(now, b, g.Lot)
+	case l == nil || b.lot != l:
+		return
+	case g.Closed:
+		w.dropLot(l)
+		return
+	}
+	if g.Limit < l.billed+l.reserved {
+		w.violate(violated("wallet", b.id, "limit %d is below %d", g.Limit, l.billed+l.reserved))
+	}
+	l.limit = g.Limit
+	l.renewedAt, l.epoch = flight.sentAt, a.epoch
+	l.reportedTo(a.epoch, sent, flight.sentAt)
+	for _, slot := range g.Durable {
+		w.markDurable(l, slot, result)
+	}
+}
+
+// noteGrant takes over what an answer says about a budget.
+func (w *Wallet) noteGrant(now time.Time, a *walletAccount, b *walletBudget, g *LotGrant) {
+	b.missing = g.Missing
+	if g.Missing != MissingNothing || g.Recall {
+		b.scarceUntil = now.Add(scarceFor)
+	}
+	if g.Missing != MissingNothing {
+		a.retryAt = now.Add(missingRetry)
+	}
+	b.recalled = g.Recall && b.lot != nil && b.lot.free() > b.waiting
+	if !g.Closed {
+		b.wantKeys = false
+		b.keys, b.keysAt = g.KeyHashes, now
+	}
+}
+
+func (w *Wallet) addLot(now time.Time, b *walletBudget, id LotID) *walletLot {
+	l := &walletLot{id: id, budget: b, lastUse: now, holds: map[Slot]Tokens{},
+		bills: map[Slot]*walletBill{}, unacked: map[uuid.UUID]string{}}
+	b.lot = l
+	w.lots[id] = l
+	return l
+}
+
+// reportedTo records that a holder has what an exchange reported.
+func (l *walletLot) reportedTo(epoch uint64, sent *sentReport, sentAt time.Time) {
+	for _, bill := range sent.bills {
+		bill.epoch = epoch
+	}
+	l.unused = l.unused[min(sent.unused, len(l.unused)):]
+	l.dirtyAt = time.Time{}
+	if len(l.unused) > 0 {
+		l.dirtyAt = sentAt
+	}
+	for _, bill := range l.bills {
+		if bill.epoch != epoch {
+			l.dirtyAt = sentAt
+		}
+	}
+}
+
+// markDurable forgets a bill that is durable.
+func (w *Wallet) markDurable(l *walletLot, slot Slot, result *ReplyResult) {
+	bill := l.bills[slot]
+	if bill == nil {
+		return
+	}
+	delete(l.bills, slot)
+	l.durableBilled += bill.bill.Amount
+	if bill.agent == "" {
+		return
+	}
+	l.unacked[bill.bill.Attempt] = bill.agent
+	w.unacked[bill.bill.Attempt] = l
+	result.Durable = result.Durable.add(bill.agent, bill.bill.Attempt)
+}
+
+// adoptEpoch raises an account's epoch. Answers with a lower epoch are ignored
+// from now on, so the limits that the wallet has are final for former holders.
+func (w *Wallet) adoptEpoch(a *walletAccount, epoch uint64) {
+	if epoch > a.epoch {
+		a.epoch = epoch
+		for _, b := range a.budgets {
+			a.urgent = a.urgent || b.lot != nil || b.waiting > 0
+		}
+	}
+}
+
+// ObserveEpoch adopts an epoch that was seen in the holder record.
+func (w *Wallet) ObserveEpoch(account Account, epoch uint64) {
+	w.adoptEpoch(w.account(account), epoch)
+}
+
+// Lots reports all lots of an account to the holder of the given epoch, which
+// took it over, and adopts the epoch. It returns false, and the epoch that the
+// wallet knows, if that is higher.
+func (w *Wallet) Lots(now time.Time, account Account, epoch uint64) ([]LotReport, uint64, bool) {
+	a := w.account(account)
+	if epoch < a.epoch {
+		return nil, a.epoch, false
+	}
+	w.adoptEpoch(a, epoch)
+	var out []LotReport
+	for _, b := range a.budgets {
+		if b.lot != nil {
+			r, _ := w.report(now, b)
+			out = append(out, r)
+		}
+	}
+	return out, epoch, true
+}
+
+// dropAll forgets all lots of an account.
+func (w *Wallet) dropAll(a *walletAccount) {
+	for _, b := range a.budgets {
+		if b.lot != nil {
+			w.dropLot(b.lot)
+		}
+	}
+}
+
+func (w *Wallet) violate(err error) {
+	w.counters.Violations++
+	w.counters.LastViolation = err
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -121,6 +121,10 @@
 	Idempotent bool `cbor:"23,keyasint,omitempty"`
 	// Model parameters that the agent needs to bound the answer.
 	MaxOutput budget.Tokens `cbor:"24,keyasint,omitempty"`
+	// AccountEpoch is the epoch of the holder that confirmed the lot last. An
+	// agent refuses one below the epoch that it was collected with, so that the
+	// grants of a replaced holder cannot be used.
+	AccountEpoch uint64 `cbor:"25,keyasint,omitempty"`
 }
 
 // Attach asks an agent for the answer of an attempt from an offset on, after a
@@ -241,6 +245,12 @@
 	ClaimEpoch uint64 `cbor:"3,keyasint,omitempty"`
 	// WithClaims asks for the keys of attempts.
 	WithClaims bool `cbor:"4,keyasint,omitempty"`
+	// FenceThrough limits FenceRouter to the lots up to this one, so that a
+	// router that was given up by mistake can use lots granted later.
+	FenceThrough budget.LotMark `cbor:"5,keyasint,omitempty"`
+	// AccountEpoch makes the agent refuse requests whose lot was not confirmed
+	// by a holder of this epoch of the account; 0 leaves it as it is.
+	AccountEpoch uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // RunningAttempt is a reservation in use at an agent.
