Add the in-memory store and the stand-in of the key-value service

Cause: every module that keeps durable state needs a store to run against, with the faults that the platform's service shows. Change: memstore implements the store interface with revisions, transactions, leases and watches; faultstore adds delay, outage, lost answers, silent watches and rate limits and counts calls; storeserver serves memstore in the format of the etcd v3 JSON gateway.

--- /dev/null
+++ b/devel/standin/storeserver/watch.go
@@ -0,0 +1,123 @@
+package storeserver
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+
+	"github.com/monsoonworks/monsoonworks/internal/store"
+)
+
+// CutWatches breaks the connections of all open watches.
+func (s *Server) CutWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for cut := range s.streams {
+		close(cut)
+	}
+	clear(s.streams)
+}
+
+func (s *Server) register() (cut chan struct{}, release func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cut = make(chan struct{})
+	s.streams[cut] = struct{}{}
+	return cut, sync.OnceFunc(func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.streams, cut)
+	})
+}
+
+// watchStream writes the messages of one watch.
+type watchStream struct {
+	encoder *json.Encoder
+	flusher *http.ResponseController
+}
+
+func (ws watchStream) send(m watchResponse) error {
+	if err := ws.encoder.Encode(streamed{m}); err != nil {
+		return err
+	}
+	return ws.flusher.Flush()
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request, body []byte) (any, error) {
+	var req watchRequest
+	if err := decode(body, &req); err != nil {
+		return nil, err
+	}
+	if req.Create == nil {
+		return nil, errors.Join(errBadRequest, errors.New("create_request is missing"))
+	}
+	prefix, single, err := prefixOf(req.Create.Key, req.Create.RangeEnd)
+	if err != nil {
+		return nil, err
+	}
+	if single {
+		return nil, errors.Join(errBadRequest, errors.New("only the watch of a prefix is supported"))
+	}
+	from := int64(req.Create.StartRevision) - 1
+	if from < 0 {
+		from = s.Store.Revision()
+	}
+	// The watch must end with this handler, also after a cut.
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	batches, err := s.Store.Watch(ctx, prefix, from)
+	if err != nil {
+		return nil, err
+	}
+	w.Header().Set("Content-Type", "application/json")
+	ws := watchStream{encoder: json.NewEncoder(w), flusher: http.NewResponseController(w)}
+	if ws.send(watchResponse{Header: s.header(), Created: true}) == nil {
+		s.streamWatch(ctx, ws, batches, req.Create.ProgressNotify)
+	}
+	// An aborted connection is what a client sees of a broken watch.
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) streamWatch(ctx context.Context, ws watchStream, batches <-chan store.WatchBatch, progress bool) {
+	cut, release := s.register()
+	defer release()
+	for {
+		select {
+		case batch, open := <-batches:
+			if !open {
+				return
+			}
+			if len(batch.Events) == 0 && batch.Err == nil && !progress {
+				continue
+			}
+			if !s.Controls.Pass(ctx, batch) {
+				continue
+			}
+			if ws.send(s.toWatchResponse(batch)) != nil || batch.Err != nil {
+				return
+			}
+		case <-cut:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) toWatchResponse(batch store.WatchBatch) watchResponse {
+	m := watchResponse{Header: header{Revision: int64Value(batch.Revision)}}
+	if batch.Err != nil {
+		m.Canceled, m.CompactRevision = true, int64Value(batch.Revision)
+		return m
+	}
+	for _, e := range batch.Events {
+		out := event{KV: toKV(e.Entry)}
+		if e.Deleted {
+			out.Type = "DELETE"
+		}
+		m.Events = append(m.Events, out)
+	}
+	return m
+}
--- /dev/null
+++ b/internal/store/memstore/lease.go
@@ -0,0 +1,97 @@
+package memstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/store"
+)
+
+// lease is a granted lease. Store.mu guards it.
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	timer    *time.Timer
+	keys     map[string]struct{}
+}
+
+// Grant implements store.Leaser.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	id := s.lastLease
+	s.leases[id] = &lease{
+		ttl:      ttl,
+		deadline: time.Now().Add(ttl),
+		timer:    time.AfterFunc(ttl, func() { s.lapse(id) }),
+		keys:     make(map[string]struct{}),
+	}
+	return id, nil
+}
+
+// KeepAlive implements store.Leaser.
+func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return store.ErrLeaseNotFound
+	}
+	l.deadline = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+// Revoke implements store.Leaser.
+func (s *Store) Revoke(ctx context.Context, id store.LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return store.ErrLeaseNotFound
+	}
+	s.endLease(id)
+	return nil
+}
+
+// TTL returns the period for which a lease is granted, and whether it exists.
+func (s *Store) TTL(id store.LeaseID) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil {
+		return l.ttl, true
+	}
+	return 0, false
+}
+
+// lapse runs when a lease's timer fires. A renewal may have won the race for mu,
+// hence the check of the deadline.
+func (s *Store) lapse(id store.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.leases[id]; l != nil && !time.Now().Before(l.deadline) {
+		s.endLease(id)
+	}
+}
+
+func (s *Store) endLease(id store.LeaseID) {
+	l := s.leases[id]
+	delete(s.leases, id)
+	l.timer.Stop()
+	var deletes []store.Write
+	for _, key := range slices.Sorted(maps.Keys(l.keys)) {
+		deletes = append(deletes, store.Write{Key: key, Delete: true})
+	}
+	s.apply(deletes)
+}
--- /dev/null
+++ b/internal/store/memstore/watch.go
@@ -0,0 +1,106 @@
+package memstore
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/store"
+)
+
+func eventBytes(e store.Event) int { return len(e.Key) + len(e.Value) + eventOverheadBytes }
+
+func (s *Store) record(e store.Event) {
+	s.history = append(s.history, e)
+	s.historyBytes += eventBytes(e)
+}
+
+// trim drops the older half of the history when it is over its limit, so that
+// the cost is amortised over many writes.
+func (s *Store) trim() {
+	if s.historyBytes > s.opts.HistoryBytes {
+		s.compactTo(s.history[len(s.history)/2].ModRevision)
+	}
+}
+
+// Compact forgets the events up to a revision. A watch that still needs one of
+// them ends with store.ErrCompacted.
+func (s *Store) Compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compactTo(min(revision, s.revision))
+}
+
+func (s *Store) compactTo(revision int64) {
+	keep := s.firstAfter(revision)
+	for _, e := range s.history[:keep] {
+		s.historyBytes -= eventBytes(e)
+	}
+	s.history = append([]store.Event(nil), s.history[keep:]...)
+	s.compacted = max(s.compacted, revision)
+}
+
+// firstAfter returns the index of the first event after a revision.
+func (s *Store) firstAfter(revision int64) int {
+	return sort.Search(len(s.history), func(i int) bool { return s.history[i].ModRevision > revision })
+}
+
+// Watch implements store.Watcher. A quiet watch gets a progress notice at each
+// progress interval.
+func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	out := make(chan store.WatchBatch)
+	go s.watch(ctx, prefix, from, out)
+	return out, nil
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, from int64, out chan<- store.WatchBatch) {
+	defer close(out)
+	progress := time.NewTicker(s.opts.ProgressInterval)
+	defer progress.Stop()
+	notify := false
+	for {
+		batch, changed := s.eventsAfter(prefix, from)
+		from = max(from, batch.Revision)
+		if len(batch.Events) > 0 || batch.Err != nil || notify {
+			select {
+			case out <- batch:
+				progress.Reset(s.opts.ProgressInterval)
+			case <-ctx.Done():
+				return
+			}
+			if batch.Err != nil {
+				return
+			}
+		}
+		notify = false
+		select {
+		case <-changed:
+		case <-progress.C:
+			notify = true
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// eventsAfter returns the events under prefix after a revision, and a channel
+// that is closed at the next change.
+func (s *Store) eventsAfter(prefix string, from int64) (store.WatchBatch, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := store.WatchBatch{Revision: s.revision}
+	if from < s.compacted {
+		batch.Err = store.ErrCompacted
+		return batch, s.changed
+	}
+	for _, e := range s.history[s.firstAfter(from):] {
+		if strings.HasPrefix(e.Key, prefix) {
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	return batch, s.changed
+}
