--- /dev/null
+++ b/devel/standin/pipenet/pipenet.go
@@ -0,0 +1,144 @@
+// Package pipenet is an in-memory network of one address. Its connections are
+// pipes without system calls, so that clients and servers over it run in virtual
+// time under testing/synctest.
+package pipenet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// ErrRefused is what Dial returns while connections are refused.
+var ErrRefused = errors.New("connection refused")
+
+// Network connects dialers to one listener. It is safe for concurrent use.
+type Network struct {
+	accept chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	refuse  bool
+	dials   int
+	current map[*conn]struct{}
+}
+
+// New returns a network.
+func New() *Network {
+	return &Network{
+		accept:  make(chan net.Conn),
+		closed:  make(chan struct{}),
+		current: make(map[*conn]struct{}),
+	}
+}
+
+// Refuse makes Dial fail, or succeed again.
+func (n *Network) Refuse(refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refuse = refuse
+}
+
+// Silence makes the open connections deliver nothing any more to the dialing
+// side, without closing them. New connections work.
+func (n *Network) Silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.current {
+		close(c.silenced)
+	}
+	clear(n.current)
+}
+
+// Dials returns the number of connections made so far.
+func (n *Network) Dials() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
+// DialContext makes a connection; network and address are ignored.
+func (n *Network) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	n.mu.Lock()
+	refuse := n.refuse
+	n.mu.Unlock()
+	if refuse {
+		return nil, ErrRefused
+	}
+	client, server := net.Pipe()
+	select {
+	case n.accept <- server:
+	case <-n.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	c := &conn{Conn: client, network: n, silenced: make(chan struct{}), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dials++
+	n.current[c] = struct{}{}
+	return c, nil
+}
+
+// Accept implements net.Listener.
+func (n *Network) Accept() (net.Conn, error) {
+	select {
+	case c := <-n.accept:
+		return c, nil
+	case <-n.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (n *Network) Close() error {
+	n.once.Do(func() { close(n.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (n *Network) Addr() net.Addr { return address{} }
+
+type address struct{}
+
+func (address) Network() string { return "pipe" }
+func (address) String() string  { return "pipe" }
+
+// conn is the dialing side of a connection.
+type conn struct {
+	net.Conn
+	network  *Network
+	silenced chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Read discards what arrives after the connection was silenced.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		select {
+		case <-c.silenced:
+			if err != nil {
+				<-c.closed
+				return 0, net.ErrClosed
+			}
+		default:
+			return n, err
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.current, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- a/devel/standin/storeserver/kv.go
+++ b/devel/standin/storeserver/kv.go
@@ -230,13 +230,16 @@
 	return txn, nil
 }
 
+// maxLeaseSeconds is the largest TTL that the service grants.
+const maxLeaseSeconds = 9_000_000_000
+
 func (s *Server) serveGrant(_ http.ResponseWriter, r *http.Request, body []byte) (any, error) {
 	var req leaseRequest
 	if err := decode(body, &req); err != nil {
 		return nil, err
 	}
-	if req.TTL <= 0 || req.ID != 0 {
-		return nil, errors.Join(errBadRequest, errors.New("TTL must be above 0 and ID unset"))
+	if req.TTL <= 0 || req.TTL > maxLeaseSeconds || req.ID != 0 {
+		return nil, errors.Join(errBadRequest, errors.New("TTL is out of range or ID is set"))
 	}
 	id, err := s.Store.Grant(r.Context(), time.Duration(req.TTL)*time.Second)
 	return &leaseResponse{Header: s.header(), ID: int64Value(id), TTL: req.TTL}, err
