--- /dev/null
+++ b/internal/config/entry.go
@@ -0,0 +1,169 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"strings"
+)
+
+// Keys of the configuration in the store.
+const (
+	// Prefix is the prefix of all keys of the configuration.
+	Prefix = "/mw/sync/config/"
+	// HeadKey is the key of the Head.
+	HeadKey = Prefix + "head"
+)
+
+// Sections of the configuration.
+const (
+	SectionDeployment = "deployment"
+	SectionWorkspace  = "workspace"
+	SectionModel      = "model"
+	SectionService    = "service"
+	SectionPool       = "pool"
+)
+
+// DeploymentName is the name of the only entry of SectionDeployment.
+const DeploymentName = "main"
+
+// maxEntryBytes bounds one entry, so that a change fits in one transaction and
+// in one message to a follower.
+const maxEntryBytes = 64 << 10
+
+// Key returns the store key of an entry.
+func Key(section, name string) string { return Prefix + section + "/" + name }
+
+// ParseKey returns the section and the name of an entry's key. It returns false
+// for the head and for keys that are no entries.
+func ParseKey(key string) (section, name string, ok bool) {
+	rest, ok := strings.CutPrefix(key, Prefix)
+	if !ok {
+		return "", "", false
+	}
+	section, name, ok = strings.Cut(rest, "/")
+	return section, name, ok && section != "" && name != ""
+}
+
+// ErrSection means that an entry's section does not exist.
+var ErrSection = errors.New("unknown section")
+
+// decodeStrict decodes one JSON value. It refuses unknown fields and anything
+// after the value.
+func decodeStrict(data []byte, into any) error {
+	if len(data) > maxEntryBytes {
+		return fmt.Errorf("%d bytes are over the limit of %d", len(data), maxEntryBytes)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return errors.New("data after the JSON value")
+	}
+	return nil
+}
+
+// entryType is what the types of entries have in common.
+type entryType interface {
+	Validate() error
+	entryName() string
+}
+
+func (d Deployment) entryName() string { return DeploymentName }
+func (w Workspace) entryName() string  { return w.Name }
+func (m Model) entryName() string      { return m.Name }
+func (s Service) entryName() string    { return s.Name }
+func (l Pool) entryName() string       { return l.Name }
+
+func decodeEntry[T entryType](name string, data []byte) (T, error) {
+	var value T
+	if err := decodeStrict(data, &value); err != nil {
+		return value, err
+	}
+	if err := value.Validate(); err != nil {
+		return value, err
+	}
+	if value.entryName() != name {
+		return value, fmt.Errorf("name: %q differs from the entry's name %q", value.entryName(), name)
+	}
+	return value, nil
+}
+
+// section is how a Snapshot keeps the entries of one section.
+type section interface {
+	// own replaces the section's table by a copy that may be changed.
+	own(s *Snapshot)
+	put(s *Snapshot, name string, data []byte) error
+	remove(s *Snapshot, name string)
+	// encode returns the entries as JSON by name.
+	encode(s *Snapshot) map[string]json.RawMessage
+}
+
+var sections = map[string]section{
+	SectionDeployment: deploymentSection{},
+	SectionWorkspace:  table[Workspace](func(s *Snapshot) *map[string]Workspace { return &s.Workspaces }),
+	SectionModel:      table[Model](func(s *Snapshot) *map[string]Model { return &s.Models }),
+	SectionService:    table[Service](func(s *Snapshot) *map[string]Service { return &s.Services }),
+	SectionPool:       table[Pool](func(s *Snapshot) *map[string]Pool { return &s.Pools }),
+}
+
+// table is a section with any number of entries, kept in the map that the
+// function selects.
+type table[T entryType] func(*Snapshot) *map[string]T
+
+func (t table[T]) own(s *Snapshot) {
+	entries := t(s)
+	if *entries == nil {
+		*entries = make(map[string]T)
+		return
+	}
+	*entries = maps.Clone(*entries)
+}
+
+func (t table[T]) put(s *Snapshot, name string, data []byte) error {
+	value, err := decodeEntry[T](name, data)
+	if err == nil {
+		(*t(s))[name] = value
+	}
+	return err
+}
+
+func (t table[T]) remove(s *Snapshot, name string) { delete(*t(s), name) }
+
+func (t table[T]) encode(s *Snapshot) map[string]json.RawMessage {
+	encoded := make(map[string]json.RawMessage)
+	for name, value := range *t(s) {
+		encoded[name], _ = json.Marshal(value)
+	}
+	return encoded
+}
+
+type deploymentSection struct{}
+
+func (deploymentSection) own(*Snapshot) {}
+
+func (deploymentSection) put(s *Snapshot, name string, data []byte) error {
+	if name != DeploymentName {
+		return fmt.Errorf("the only entry is %q", DeploymentName)
+	}
+	value, err := decodeEntry[Deployment](name, data)
+	if err == nil {
+		s.Deployment = value
+	}
+	return err
+}
+
+func (deploymentSection) remove(s *Snapshot, _ string) { s.Deployment = Deployment{} }
+
+func (deploymentSection) encode(s *Snapshot) map[string]json.RawMessage {
+	if s.Deployment.Name == "" {
+		return nil
+	}
+	encoded, _ := json.Marshal(s.Deployment)
+	return map[string]json.RawMessage{DeploymentName: encoded}
+}
