--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -65,6 +65,9 @@
 	// SealedEpoch is set to Epoch by a holder that has stopped for good after
 	// this write, so its lots and their limits are exact.
 	SealedEpoch uint64 `cbor:"8,keyasint,omitempty"`
+	// FlushedUnixMilli is when the record was written by a holder, by its clock.
+	// A takeover keeps it.
+	FlushedUnixMilli int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Encode returns the record's bytes.
@@ -133,6 +136,8 @@
 		Budgets: make(map[ID]*AccountBudget, len(old.Budgets)),
 		Lots:    make([]AccountLot, len(old.Lots)),
 		Next:    append(slices.Clone(old.Next), LotMark{Epoch: old.Epoch + 1, Num: 1}),
+
+		FlushedUnixMilli: old.FlushedUnixMilli,
 	}
 	if old.SealedEpoch == old.Epoch {
 		a.SealedEpoch = old.SealedEpoch
--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -218,14 +218,14 @@
 	b.claims[account] = max(b.claims[account], epoch)
 }
 
-// RunningAttempt is a reservation in use.
+// RunningAttempt is a reservation in use at an agent.
 type RunningAttempt struct {
-	Attempt uuid.UUID
-	Router  Incarnation
-	Lot     LotID
-	Slot    Slot
-	Budget  ID
-	Reserve Tokens
+	Lot     LotID       `cbor:"1,keyasint"`
+	Slot    Slot        `cbor:"2,keyasint"`
+	Budget  ID          `cbor:"3,keyasint"`
+	Router  Incarnation `cbor:"4,keyasint"`
+	Reserve Tokens      `cbor:"5,keyasint"`
+	Attempt uuid.UUID   `cbor:"6,keyasint"`
 }
 
 // Collect returns what the book knows about an account: the bills with the
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -108,7 +108,7 @@
 	if p.Treasury == nil && p.Bills.Empty() && len(p.thaw) == 0 && !h.sealed && now.Sub(h.flushedAt) < FlushInterval {
 		return nil, nil
 	}
-	h.planRecord(p)
+	h.planRecord(now, p)
 	if err := p.Account.Check(); err != nil {
 		h.violate(err)
 		return nil, err
@@ -261,12 +261,14 @@
 }
 
 // planRecord builds the new account record.
-func (h *Holder) planRecord(p *FlushPlan) {
+func (h *Holder) planRecord(now time.Time, p *FlushPlan) {
 	rec := &AccountRecord{
 		Account: h.account, Epoch: h.epoch, FlushSeq: p.Seq, Holder: h.self,
 		Budgets: make(map[ID]*AccountBudget, len(h.budgets)),
 		Lots:    make([]AccountLot, 0, len(h.lots)),
 		Next:    append(slices.Clone(h.former), LotMark{Epoch: h.epoch, Num: h.nextLot}),
+
+		FlushedUnixMilli: now.UnixMilli(),
 	}
 	if h.sealed {
 		rec.SealedEpoch = h.epoch
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -94,20 +94,20 @@
 	// thaw is what a fence or a reconciliation has freed. It is granted only
 	// after a flush: a successor that does not know of the settlement would
 	// accept the lots from their routers again.
-	thaw         Tokens
-	held         Tokens // returns of flushes whose outcome is open
-	lots         int    // open, orphan and retired
-	pending      int    // bills that are not durable
-	demand       float64
-	lastUse      time.Time
-	unmet        Tokens
-	unmetAt      time.Time
-	recallUntil  time.Time
-	returnAsk    Tokens
-	returnAskAt  time.Time
-	retryAt      time.Time // no urgent flush before
-	drawTried    time.Time // the last time a flush found nothing to draw
-	regions      map[string]regionAnswer
+	thaw        Tokens
+	held        Tokens // returns of flushes whose outcome is open
+	lots        int    // open, orphan and retired
+	pending     int    // bills that are not durable
+	demand      float64
+	lastUse     time.Time
+	unmet       Tokens
+	unmetAt     time.Time
+	recallUntil time.Time
+	returnAsk   Tokens
+	returnAskAt time.Time
+	retryAt     time.Time // no urgent flush before
+	drawTried   time.Time // the last time a flush found nothing to draw
+	regions     map[string]regionAnswer
 }
 
 // regionAnswer is what another region's holder said when asked for a return.
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -21,6 +21,8 @@
 	Name    string    `json:"name"`
 	Address string    `json:"address"`
 	Boot    uuid.UUID `json:"boot"`
+	// Released is set by a holder that has handed the account over and stopped.
+	Released bool `json:"released,omitempty"`
 }
 
 // HolderKey returns the store key of an account's holder record.
--- /dev/null
+++ b/internal/holder/balance.go
@@ -0,0 +1,77 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// seekBalance asks other regions to return escrow, and routers of this region to
+// release unused lots, for wishes that could not be met.
+func (m *Manager) seekBalance(ctx context.Context, a *account) {
+	a.mu.Lock()
+	unmet := a.core.Unmet(time.Now())
+	a.mu.Unlock()
+	if len(unmet) == 0 {
+		return
+	}
+	needs := map[string][]wire.ReturnNeed{}
+	routers := map[budget.Incarnation]bool{}
+	for _, u := range unmet {
+		for _, region := range u.Regions {
+			needs[region] = append(needs[region], wire.ReturnNeed{Budget: u.Budget, Need: u.Amount})
+		}
+		for _, router := range u.Routers {
+			routers[router] = true
+		}
+	}
+	m.pokeRouters(ctx, routers, a.key)
+	for region, list := range needs {
+		m.askRegion(ctx, a, region, list)
+	}
+}
+
+// askRegion asks another region's holder of the same shard to return escrow.
+func (m *Manager) askRegion(ctx context.Context, a *account, region string, needs []wire.ReturnNeed) {
+	args := wire.ReturnArgs{Account: budget.Account{Shard: a.key.Shard, Region: region}, Needs: needs}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply wire.ReturnReply
+	record, known := m.o.Directory.Holder(args.Account)
+	reachable := false
+	if known {
+		_, err := m.o.Caller.Call(ctx, record.Address, "Holder.Return", &args, &reply)
+		reachable = err == nil && !reply.NotHolder && len(reply.Returned) == len(needs)
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, need := range needs {
+		var returned budget.Tokens
+		if reachable {
+			returned = reply.Returned[i]
+		}
+		a.core.ReturnAnswered(now, need.Budget, region, reachable, returned)
+	}
+}
+
+// pokeRouters asks routers to exchange at once, so that they release what was
+// recalled.
+func (m *Manager) pokeRouters(ctx context.Context, routers map[budget.Incarnation]bool, key budget.Account) {
+	if len(routers) == 0 {
+		return
+	}
+	args := wire.LotsArgs{Account: key, Holder: m.o.Self}
+	for _, peer := range m.o.Directory.Routers() {
+		for router := range routers {
+			if router.Name != peer.Name {
+				continue
+			}
+			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+			_, _ = m.o.Caller.Call(callCtx, peer.Address, "Wallet.Poke", &args, &wire.Empty{})
+			cancel()
+		}
+	}
+}
--- /dev/null
+++ b/internal/holder/flush.go
@@ -0,0 +1,206 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+)
+
+// flush writes what is due for an account: one read of the treasury and one
+// transaction for all its budgets.
+func (m *Manager) flush(ctx context.Context, a *account) {
+	a.flushing.Lock()
+	defer a.flushing.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	treasury, treasuryRev, err := m.readTreasury(ctx, a.key.Shard)
+	if err != nil {
+		m.flushFailed(a, "treasury not read", err)
+	}
+	plan, err := m.plan(a, treasury)
+	switch {
+	case errors.Is(err, budget.ErrUnresolved) || errors.Is(err, budget.ErrDrawnMismatch):
+		m.resolveFlush(ctx, a)
+		return
+	case err != nil:
+		m.flushFailed(a, "flush not planned", err)
+		return
+	case plan == nil:
+		return
+	}
+	m.commit(ctx, a, plan, treasuryRev)
+}
+
+func (m *Manager) readTreasury(ctx context.Context, shard budget.Shard) (*budget.Treasury, int64, error) {
+	m.stats.storeReads.Inc(1)
+	entry, err := m.o.Store.Get(ctx, treasuryKey(shard))
+	if err != nil {
+		return nil, 0, err
+	}
+	if entry.ModRevision == 0 {
+		return budget.NewTreasury(shard), 0, nil
+	}
+	t, err := budget.DecodeTreasury(entry.Value)
+	if err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", entry.Key, err)
+	}
+	return t, entry.ModRevision, nil
+}
+
+func (m *Manager) plan(a *account, treasury *budget.Treasury) (*budget.FlushPlan, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.core == nil {
+		return nil, budget.ErrDeposed
+	}
+	now := time.Now()
+	if treasury != nil {
+		a.core.ObserveTreasury(now, treasury)
+	}
+	return a.core.PrepareFlush(now, treasury)
+}
+
+// commit writes a plan and reports its outcome to the holder.
+func (m *Manager) commit(ctx context.Context, a *account, plan *budget.FlushPlan, treasuryRev int64) {
+	txn, err := m.flushTxn(a, plan, treasuryRev)
+	if err != nil {
+		m.flushDone(a, plan, budget.FlushFailed, 0)
+		m.flushFailed(a, "flush not encoded", err)
+		return
+	}
+	m.stats.storeWrites.Inc(1)
+	result, err := m.o.Store.Commit(ctx, txn)
+	outcome := outcomeOf(result, err)
+	acks := m.flushDone(a, plan, outcome, result.Revision)
+	if outcome != budget.FlushCommitted {
+		m.flushFailed(a, "flush not committed", err)
+	}
+	if outcome == budget.FlushConflict || outcome == budget.FlushUnknown {
+		m.resolveFlush(ctx, a)
+	}
+	m.acknowledge(ctx, acks)
+}
+
+func outcomeOf(result store.TxnResult, err error) budget.Outcome {
+	switch {
+	case err == nil && result.Committed:
+		return budget.FlushCommitted
+	case err == nil:
+		return budget.FlushConflict
+	case errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrTooLarge):
+		return budget.FlushFailed
+	default:
+		return budget.FlushUnknown
+	}
+}
+
+func (m *Manager) flushTxn(a *account, plan *budget.FlushPlan, treasuryRev int64) (store.Txn, error) {
+	a.mu.Lock()
+	rev, holderRev := a.rev, a.holderRev
+	a.mu.Unlock()
+	record, err := plan.Account.Encode()
+	if err != nil {
+		return store.Txn{}, err
+	}
+	txn := store.Txn{
+		Compare: []store.Compare{
+			{Key: accountKey(a.key), ModRevision: rev},
+			{Key: config.HolderKey(a.key), ModRevision: holderRev},
+		},
+		Write: []store.Write{{Key: accountKey(a.key), Value: record}},
+	}
+	if plan.Treasury != nil {
+		value, err := plan.Treasury.Encode()
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.Compare = append(txn.Compare, store.Compare{Key: treasuryKey(a.key.Shard), ModRevision: treasuryRev})
+		txn.Write = append(txn.Write, store.Write{Key: treasuryKey(a.key.Shard), Value: value})
+	}
+	if !plan.Bills.Empty() {
+		value, err := plan.Bills.Encode()
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.Write = append(txn.Write, store.Write{Key: billsKey(&plan.Bills), Value: value})
+	}
+	if plan.Account.SealedEpoch == plan.Account.Epoch {
+		value, err := m.releasedRecord(plan.Account)
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.Write = append(txn.Write, store.Write{Key: config.HolderKey(a.key), Value: value})
+	}
+	return txn, nil
+}
+
+// releasedRecord is the holder record of an account whose holder has stopped, so
+// that a successor need not wait until it counts as dead.
+func (m *Manager) releasedRecord(record *budget.AccountRecord) ([]byte, error) {
+	return json.Marshal(Record{
+		Epoch: record.Epoch, Name: m.o.Self.Name, Address: m.o.Address, Boot: m.o.Self.Boot, Released: true,
+	})
+}
+
+func (m *Manager) flushDone(a *account, plan *budget.FlushPlan, outcome budget.Outcome, rev int64) budget.AckList {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acks := a.core.FlushDone(time.Now(), plan, outcome)
+	if outcome == budget.FlushCommitted {
+		a.rev = rev
+		if plan.Account.SealedEpoch == plan.Account.Epoch {
+			a.holderRev = rev
+		}
+		m.committed(plan)
+	}
+	return acks
+}
+
+// committed counts what a flush made durable.
+func (m *Manager) committed(plan *budget.FlushPlan) {
+	m.stats.flushes.Inc(1)
+	m.stats.bills.Inc(int64(len(plan.Bills.Bills)))
+	for _, loss := range plan.Bills.Losses {
+		m.stats.lost.Inc(int64(loss.Amount))
+		m.log.Warn("amount counted as spent because its bills cannot be recovered",
+			"budget", loss.Budget, "tokens", loss.Amount, "router", loss.Router.Name, "agents", loss.Agents)
+	}
+}
+
+// resolveFlush reads the account back to find out which flush took effect.
+func (m *Manager) resolveFlush(ctx context.Context, a *account) {
+	holder, entry, record, err := m.readAccount(ctx, a.key)
+	if err != nil || record == nil {
+		m.flushFailed(a, "account not read back", err)
+		return
+	}
+	a.mu.Lock()
+	acks, err := a.core.ResolveFlush(time.Now(), record)
+	if err == nil {
+		a.rev, a.holderRev = entry.ModRevision, holder.ModRevision
+	}
+	m.reportFaults(a)
+	a.mu.Unlock()
+	m.acknowledge(ctx, acks)
+}
+
+func (m *Manager) flushFailed(a *account, what string, err error) {
+	m.stats.flushFailures.Inc(1)
+	m.log.Debug(what, "shard", a.key.Shard, "region", a.key.Region, "error", err)
+}
+
+// acknowledge tells agents which bills that were collected from them are
+// durable. An agent that is not reached is told when it is collected from again.
+func (m *Manager) acknowledge(ctx context.Context, acks budget.AckList) {
+	for name, attempts := range acks {
+		if address, ok := m.live.agentAddress(name); ok {
+			m.ackBills(ctx, address, attempts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/holder/takeover.go
@@ -0,0 +1,189 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+)
+
+// Keys of the records in the store.
+func treasuryKey(shard budget.Shard) string { return fmt.Sprintf("/mw/treasury/%d", shard) }
+
+func accountKey(a budget.Account) string { return fmt.Sprintf("/mw/account/%d/%s", a.Shard, a.Region) }
+
+func billsKey(b *budget.BillBlock) string {
+	return fmt.Sprintf("%s%08d-%010d", BillsPrefix(b.Account), b.Epoch, b.Seq)
+}
+
+// TreasuryKey returns the store key of a shard's treasury.
+func TreasuryKey(shard budget.Shard) string { return treasuryKey(shard) }
+
+// AccountKey returns the store key of an account's record.
+func AccountKey(a budget.Account) string { return accountKey(a) }
+
+// BillsPrefix returns the prefix of an account's bill blocks, which sort by age.
+func BillsPrefix(a budget.Account) string {
+	return fmt.Sprintf("/mw/bills/%d/%s/", a.Shard, a.Region)
+}
+
+// consider takes an account over if its holder is dead and this router is the
+// first live candidate.
+func (m *Manager) consider(ctx context.Context, a *account, since time.Time) {
+	if time.Since(since) > wantedFor {
+		return
+	}
+	routers := m.o.Directory.Routers()
+	if !m.mayTakeOver(ctx, a.key, routers) {
+		m.again(a.key, since)
+		return
+	}
+	if err := m.takeOver(ctx, a); err != nil {
+		m.log.Warn("account not taken over", "shard", a.key.Shard, "region", a.key.Region, "error", err)
+	}
+}
+
+// wantedFor is how long a question for an account keeps it under consideration.
+const wantedFor = 10 * time.Second
+
+// again keeps an account under consideration until its holder answers or is
+// known to be dead.
+func (m *Manager) again(key budget.Account, since time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.wanted[key]; !ok {
+		m.wanted[key] = since
+	}
+}
+
+// mayTakeOver reports whether the account's holder is gone and no router before
+// this one in rendezvous order can be reached.
+func (m *Manager) mayTakeOver(ctx context.Context, key budget.Account, routers []Peer) bool {
+	record, ok := m.o.Directory.Holder(key)
+	if ok && record.Boot != m.o.Self.Boot && record.Name != "" {
+		incarnation := budget.Incarnation{Name: record.Name, Boot: record.Boot}
+		if !record.Released && !m.live.dead(ctx, incarnation, routers) {
+			return false
+		}
+	}
+	for _, peer := range candidates(key, routers) {
+		if peer.Name == m.o.Self.Name {
+			return true
+		}
+		if ok && peer.Name == record.Name {
+			continue
+		}
+		if _, _, alive := m.live.ping(ctx, peer); alive {
+			return false
+		}
+	}
+	return false
+}
+
+// takeOver writes the holder and account records of a new epoch. A lost answer
+// of the store is resolved by reading the records back.
+func (m *Manager) takeOver(ctx context.Context, a *account) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	holderEntry, accountEntry, old, err := m.readAccount(ctx, a.key)
+	if err != nil {
+		return err
+	}
+	record := budget.TakeOver(a.key, old, m.o.Self)
+	txn, err := m.takeOverTxn(a.key, record, holderEntry, accountEntry)
+	if err != nil {
+		return err
+	}
+	m.stats.storeWrites.Inc(1)
+	result, err := m.o.Store.Commit(ctx, txn)
+	switch {
+	case errors.Is(err, store.ErrUnavailable):
+		return err
+	case err != nil:
+		return m.resolveTakeOver(ctx, a, record)
+	case !result.Committed:
+		return errors.New("another router was faster")
+	}
+	return m.install(a, record, result.Revision, result.Revision)
+}
+
+func (m *Manager) readAccount(ctx context.Context, key budget.Account) (holder, acct store.Entry, old *budget.AccountRecord, err error) {
+	m.stats.storeReads.Inc(2)
+	if holder, err = m.o.Store.Get(ctx, config.HolderKey(key)); err != nil {
+		return
+	}
+	if acct, err = m.o.Store.Get(ctx, accountKey(key)); err != nil || acct.ModRevision == 0 {
+		return
+	}
+	if old, err = budget.DecodeAccount(acct.Value); err != nil {
+		err = fmt.Errorf("%s: %w", acct.Key, err)
+	}
+	return
+}
+
+func (m *Manager) takeOverTxn(key budget.Account, record *budget.AccountRecord, holder, acct store.Entry) (store.Txn, error) {
+	value, err := record.Encode()
+	if err != nil {
+		return store.Txn{}, err
+	}
+	holderValue, err := json.Marshal(Record{
+		Epoch: record.Epoch, Name: m.o.Self.Name, Address: m.o.Address, Boot: m.o.Self.Boot,
+	})
+	if err != nil {
+		return store.Txn{}, err
+	}
+	return store.Txn{
+		Compare: []store.Compare{
+			{Key: config.HolderKey(key), ModRevision: holder.ModRevision},
+			{Key: accountKey(key), ModRevision: acct.ModRevision},
+		},
+		Write: []store.Write{
+			{Key: config.HolderKey(key), Value: holderValue},
+			{Key: accountKey(key), Value: value},
+		},
+	}, nil
+}
+
+// resolveTakeOver finds out whether a takeover whose answer was lost took
+// effect.
+func (m *Manager) resolveTakeOver(ctx context.Context, a *account, record *budget.AccountRecord) error {
+	holder, acct, current, err := m.readAccount(ctx, a.key)
+	if err != nil {
+		return err
+	}
+	if current == nil || current.Epoch != record.Epoch || current.Holder != m.o.Self || current.FlushSeq != record.FlushSeq {
+		return errors.New("takeover did not take effect")
+	}
+	return m.install(a, record, acct.ModRevision, holder.ModRevision)
+}
+
+// install starts the holder of an account that was taken over.
+func (m *Manager) install(a *account, record *budget.AccountRecord, rev, holderRev int64) error {
+	now := time.Now()
+	m.mu.Lock()
+	policy := m.policy
+	m.mu.Unlock()
+	core, err := budget.NewHolder(now, record, policy)
+	if err != nil {
+		return fmt.Errorf("%s: %w", accountKey(a.key), err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.core, a.claims, a.takenOver = core, newClaimTable(), now
+	a.rev, a.holderRev, a.nextRound = rev, holderRev, now
+	if record.FlushedUnixMilli != 0 {
+		a.lastFlush = time.UnixMilli(record.FlushedUnixMilli)
+	}
+	if record.Epoch > 1 {
+		a.claims.beginRebuild()
+	}
+	m.stats.takeovers.Inc(1)
+	m.log.Info("account taken over", "shard", a.key.Shard, "region", a.key.Region,
+		"epoch", record.Epoch, "reconciling", core.Reconciling())
+	return nil
+}
--- a/internal/wire/holder_messages.go
+++ b/internal/wire/holder_messages.go
@@ -34,8 +34,11 @@
 
 // LotsReply answers LotsArgs.
 type LotsReply struct {
-	Router budget.Incarnation `cbor:"1,keyasint"`
-	Lots   []budget.LotReport `cbor:"2,keyasint,omitempty"`
+	Lots []budget.LotReport `cbor:"1,keyasint,omitempty"`
+	// Epoch is the highest epoch of the account that the router knows.
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Adopted is false if the router knows a higher epoch than the sender's.
+	Adopted bool `cbor:"3,keyasint"`
 }
 
 // PingReply answers a call that only checks that the peer is alive.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -254,14 +254,7 @@
 }
 
 // RunningAttempt is a reservation in use at an agent.
-type RunningAttempt struct {
-	Lot     budget.LotID       `cbor:"1,keyasint"`
-	Slot    budget.Slot        `cbor:"2,keyasint"`
-	Budget  budget.ID          `cbor:"3,keyasint"`
-	Router  budget.Incarnation `cbor:"4,keyasint"`
-	Reserve budget.Tokens      `cbor:"5,keyasint"`
-	Attempt uuid.UUID          `cbor:"6,keyasint"`
-}
+type RunningAttempt = budget.RunningAttempt
 
 // ClaimedAttempt ties an idempotency key to an attempt that the agent has seen.
 type ClaimedAttempt struct {
@@ -273,12 +266,13 @@
 // CollectReply answers CollectArgs.
 type CollectReply struct {
 	Agent budget.Incarnation `cbor:"1,keyasint"`
-	// StartedUnixMilli is when the agent's memory begins.
-	StartedUnixMilli int64            `cbor:"2,keyasint"`
-	Bills            []budget.Bill    `cbor:"3,keyasint,omitempty"`
-	Routers          []budget.Boot    `cbor:"4,keyasint,omitempty"` // maker of each bill's lot, parallel to Bills
-	Running          []RunningAttempt `cbor:"5,keyasint,omitempty"`
-	Claims           []ClaimedAttempt `cbor:"6,keyasint,omitempty"`
+	// UptimeMillis is how long the agent's memory reaches back. It is a duration
+	// so that it does not depend on the agent's clock.
+	UptimeMillis int64            `cbor:"2,keyasint"`
+	Bills        []budget.Bill    `cbor:"3,keyasint,omitempty"`
+	Routers      []budget.Boot    `cbor:"4,keyasint,omitempty"` // maker of each bill's lot, parallel to Bills
+	Running      []RunningAttempt `cbor:"5,keyasint,omitempty"`
+	Claims       []ClaimedAttempt `cbor:"6,keyasint,omitempty"`
 }
 
 // AckBillsArgs tells an agent that bills are durable and can be deleted.
