--- /dev/null
+++ b/devel/standin/engine/core.go
@@ -0,0 +1,263 @@
+package engine
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/prefix"
+)
+
+// Errors of Submit.
+var (
+	ErrTooLarge  = errors.New("request does not fit the engine's memory")
+	ErrDuplicate = errors.New("request id is in use")
+	ErrNoModel   = errors.New("model is not loaded")
+)
+
+// sequence is a request in the engine.
+type sequence struct {
+	req    Request
+	text   textSource
+	hashes []uint64
+	// matched is the number of blocks that are pinned in the cache.
+	matched int
+	// private is the number of blocks reserved outside the cache.
+	private   int
+	promptLen int
+	prefilled int
+	emitted   int
+	chunk     int // prompt tokens read in the current step
+	usage     Usage
+	run       *Run
+}
+
+// Core is the engine's logic without a clock: callers pass the time in. It is not
+// safe for concurrent use.
+//
+// A driver calls Begin, lets the returned time pass, calls End, and repeats while
+// Begin reports work.
+type Core struct {
+	cfg      Config
+	waiting  []*sequence
+	running  []*sequence
+	byID     map[string]*sequence
+	cache    *blockCache
+	log      []*Run
+	models   map[string]bool
+	inStep   bool
+	restarts int
+}
+
+// NewCore returns an idle engine core.
+func NewCore(cfg Config) *Core {
+	c := &Core{cfg: cfg.withDefaults()}
+	c.reset()
+	return c
+}
+
+func (c *Core) reset() {
+	c.waiting, c.running, c.inStep = nil, nil, false
+	c.byID = make(map[string]*sequence)
+	c.cache = newBlockCache(c.cfg, c.restarts)
+	c.models = make(map[string]bool)
+	for _, m := range c.cfg.Models {
+		c.models[m] = true
+	}
+}
+
+// Submit queues a request.
+func (c *Core) Submit(now time.Time, req Request) error {
+	run := &Run{ID: req.ID, Echo: echoOf(req.Prompt), PromptTokens: PromptTokens(req.Prompt), Submitted: now}
+	if !c.models[req.Model] {
+		return ErrNoModel
+	}
+	if c.byID[req.ID] != nil {
+		run.Ending = EndDuplicate
+		c.log = append(c.log, run)
+		return ErrDuplicate
+	}
+	s := &sequence{
+		req: req, run: run, promptLen: run.PromptTokens,
+		text:   newTextSource(req.Prompt, req.MaxTokens),
+		hashes: prefix.Blocks([]byte(req.Prompt)),
+	}
+	if s.blocks() > c.cfg.KVBlocks {
+		return ErrTooLarge
+	}
+	run.Ending = EndRunning
+	c.log = append(c.log, run)
+	c.byID[req.ID] = s
+	at, _ := slices.BinarySearchFunc(c.waiting, s, func(have, want *sequence) int {
+		if have.req.Priority >= want.req.Priority {
+			return -1
+		}
+		return 1
+	})
+	c.waiting = slices.Insert(c.waiting, at, s)
+	return nil
+}
+
+// blocks is the memory that the whole sequence needs.
+func (s *sequence) blocks() int {
+	tokens := s.promptLen + s.text.length
+	return (tokens + tokensPerBlock - 1) / tokensPerBlock
+}
+
+// Cancel stops a request and returns what it used. It reports false if the
+// request is not in progress.
+func (c *Core) Cancel(now time.Time, id string) (Usage, bool) {
+	s := c.byID[id]
+	if s == nil {
+		return Usage{}, false
+	}
+	c.finish(now, s, EndCanceled)
+	return s.usage, true
+}
+
+// Begin starts a step and returns when it ends. It reports false if there is
+// nothing to do.
+func (c *Core) Begin(now time.Time) (end time.Time, busy bool) {
+	c.admit(now)
+	if len(c.running) == 0 {
+		return now, false
+	}
+	budget := c.cfg.PrefillChunk
+	prefill := 0
+	for _, s := range c.running {
+		s.chunk = min(s.promptLen-s.prefilled, budget)
+		budget -= s.chunk
+		prefill += s.chunk
+	}
+	c.inStep = true
+	cost := c.cfg.StepBase + time.Duration(len(c.running))*c.cfg.StepPerSequence +
+		time.Duration(prefill)*c.cfg.StepPerPrefillToken
+	return now.Add(cost), true
+}
+
+// admit moves waiting requests into the batch, most urgent first.
+func (c *Core) admit(now time.Time) {
+	for len(c.waiting) > 0 && len(c.running) < c.cfg.MaxRunning {
+		s := c.waiting[0]
+		matched := c.cache.pin(s.hashes)
+		need := s.blocks() - matched
+		if !c.cache.reserve(now, need) {
+			c.cache.unpin(s.hashes[:matched])
+			return
+		}
+		c.waiting = c.waiting[1:]
+		s.matched, s.private = matched, need
+		// The last prompt token is always read, because it yields the first
+		// output token.
+		s.prefilled = min(matched*tokensPerBlock, s.promptLen-1)
+		s.usage = Usage{Prompt: s.promptLen, Cached: s.prefilled}
+		s.run.Start, s.run.CachedTokens = now, s.prefilled
+		c.running = append(c.running, s)
+	}
+}
+
+// End finishes the step that Begin started and returns the generated tokens. It
+// reports true if a request made the engine crash; the tokens of that step are
+// lost and the caller must call Crash.
+func (c *Core) End(now time.Time) (tokens []Token, crashed bool) {
+	if !c.inStep {
+		return nil, false
+	}
+	c.inStep = false
+	for _, s := range c.running {
+		if strings.Contains(s.req.Prompt, CrashMarker) && s.emitted >= c.cfg.CrashAfterTokens {
+			return nil, true
+		}
+	}
+	for _, s := range slices.Clone(c.running) {
+		s.prefilled += s.chunk
+		s.run.Prefilled += s.chunk
+		s.chunk = 0
+		c.storeBlocks(now, s)
+		if s.prefilled < s.promptLen {
+			continue
+		}
+		tokens = append(tokens, c.emit(now, s))
+	}
+	return tokens, false
+}
+
+// storeBlocks puts the blocks that were read completely into the cache.
+func (c *Core) storeBlocks(now time.Time, s *sequence) {
+	for s.matched < len(s.hashes) && s.prefilled >= min((s.matched+1)*tokensPerBlock, s.promptLen) {
+		var parent uint64
+		if s.matched > 0 {
+			parent = s.hashes[s.matched-1]
+		}
+		c.cache.storePinned(now, s.hashes[s.matched], parent)
+		s.matched++
+		s.private--
+	}
+}
+
+func (c *Core) emit(now time.Time, s *sequence) Token {
+	t := Token{ID: s.req.ID, Index: s.emitted, Text: s.text.token(s.emitted), Value: s.text.value(s.emitted)}
+	s.emitted++
+	s.usage.Output = s.emitted
+	s.run.Tokens = s.emitted
+	if s.emitted >= s.text.length {
+		t.Finish = EndStop
+		if s.text.cut {
+			t.Finish = EndLength
+		}
+		c.finish(now, s, t.Finish)
+	}
+	t.Usage = s.usage
+	return t
+}
+
+// finish frees what a sequence holds and completes its log entry.
+func (c *Core) finish(now time.Time, s *sequence, ending string) {
+	same := func(other *sequence) bool { return other == s }
+	c.running = slices.DeleteFunc(c.running, same)
+	c.waiting = slices.DeleteFunc(c.waiting, same)
+	delete(c.byID, s.req.ID)
+	c.cache.unpin(s.hashes[:s.matched])
+	c.cache.release(s.private)
+	s.matched, s.private = 0, 0
+	s.run.End, s.run.Ending = now, ending
+}
+
+// Crash ends all requests and loses the state. The log stays.
+func (c *Core) Crash(now time.Time) {
+	for _, s := range c.byID {
+		s.run.End, s.run.Ending = now, EndCrashed
+	}
+	c.restarts++
+	c.reset()
+}
+
+// Load is what the engine reports about itself.
+type Load struct {
+	Running       int `json:"running"`
+	Waiting       int `json:"waiting"`
+	MaxRunning    int `json:"max_running"`
+	KVBlocksUsed  int `json:"kv_blocks_used"`
+	KVBlocksTotal int `json:"kv_blocks_total"`
+}
+
+// Load returns the current load.
+func (c *Core) Load() Load {
+	return Load{
+		Running: len(c.running), Waiting: len(c.waiting), MaxRunning: c.cfg.MaxRunning,
+		KVBlocksUsed: c.cache.used(), KVBlocksTotal: c.cfg.KVBlocks,
+	}
+}
+
+// Runs returns a copy of the ground-truth log, in order of submission.
+func (c *Core) Runs() []Run {
+	runs := make([]Run, len(c.log))
+	for i, r := range c.log {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// CachedBlocks returns how many leading blocks of a prompt are cached.
+func (c *Core) CachedBlocks(hashes []uint64) int { return c.cache.match(hashes) }
--- /dev/null
+++ b/devel/standin/engine/text.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"encoding/binary"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Natural lengths of an answer without a length marker, in tokens.
+const (
+	minNaturalTokens    = 16
+	spreadNaturalTokens = 112
+)
+
+var words = []string{
+	"order", "milk", "cream", "sugar", "vanilla", "mango", "pistachio", "tray",
+	"shift", "morning", "delivery", "route", "polish", "brush", "refill", "stock",
+	"the", "a", "for", "with", "and", "before", "after", "each",
+}
+
+// textSource makes the answer to one prompt. The same prompt always gives the
+// same answer.
+type textSource struct {
+	seed   uint64
+	echo   string
+	length int
+	cut    bool // the limit ends the text before its natural end
+}
+
+func newTextSource(prompt string, maxTokens int) textSource {
+	seed := xxhash.Sum64String(prompt)
+	t := textSource{seed: seed, echo: echoOf(prompt)}
+	t.length = minNaturalTokens + int(seed%spreadNaturalTokens)
+	if n, err := strconv.Atoi(marker(prompt, LengthOpen)); err == nil && n > 0 {
+		t.length = n
+	}
+	if maxTokens > 0 && maxTokens < t.length {
+		t.length, t.cut = maxTokens, true
+	}
+	return t
+}
+
+func (t *textSource) value(index int) int {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], t.seed)
+	binary.BigEndian.PutUint64(b[8:], uint64(index))
+	return int(xxhash.Sum64(b[:]) % 50000)
+}
+
+// token returns the text of one token. The first one repeats the echo marker.
+func (t *textSource) token(index int) string {
+	if index == 0 && t.echo != "" {
+		return EchoOpen + t.echo + markerClose
+	}
+	return " " + words[t.value(index)%len(words)]
+}
+
+// Answer returns the whole text that the stand-in generates for a prompt, and
+// its length in tokens.
+func Answer(prompt string, maxTokens int) (text string, tokens int) {
+	source := newTextSource(prompt, maxTokens)
+	var b strings.Builder
+	for i := range source.length {
+		b.WriteString(source.token(i))
+	}
+	return b.String(), source.length
+}
+
+// PromptTokens returns the length of a prompt in tokens, at least 1.
+func PromptTokens(prompt string) int {
+	return max(1, (len(prompt)+bytesPerToken-1)/bytesPerToken)
+}
+
+func echoOf(prompt string) string { return marker(prompt, EchoOpen) }
+
+// marker returns the content of the first marker with the given opening.
+func marker(prompt, opening string) string {
+	_, rest, found := strings.Cut(prompt, opening)
+	if !found {
+		return ""
+	}
+	content, _, found := strings.Cut(rest, markerClose)
+	if !found {
+		return ""
+	}
+	return content
+}
--- /dev/null
+++ b/devel/standin/service/service.go
@@ -0,0 +1,158 @@
+// Package service is a stand-in for a plain service: a ledger of orders for
+// goods, a stock list, and an echo endpoint. It logs every run, which checkers
+// use as the ground truth.
+package service
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const maxBodyBytes = 8 << 20
+
+// Config holds the parameters of a service.
+type Config struct {
+	// Latency is how long a call takes before it has its effect; AfterLatency
+	// passes between the effect and the answer.
+	Latency      time.Duration
+	AfterLatency time.Duration
+}
+
+// Run is an entry of the ground-truth log.
+type Run struct {
+	Number int
+	Method string
+	Path   string
+	// Key is the Idempotency-Key header, Attempt the X-Request-Id header.
+	Key     string
+	Attempt string
+	Body    string
+	At      time.Time
+	// Answered is false if the caller left before the answer was written.
+	Answered bool
+}
+
+// Echo is the answer of the echo endpoint.
+type Echo struct {
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Query  string      `json:"query"`
+	Header http.Header `json:"header"`
+	Host   string      `json:"host"`
+	Body   string      `json:"body"`
+}
+
+// Service is a plain service. It is safe for concurrent use.
+type Service struct {
+	mu  sync.Mutex
+	cfg Config
+	log []*Run
+}
+
+// New returns a service without orders.
+func New(cfg Config) *Service { return &Service{cfg: cfg} }
+
+// SetLatency changes the latency of calls that start from now on.
+func (s *Service) SetLatency(before, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cfg.Latency, s.cfg.AfterLatency = before, after
+}
+
+// Runs returns the log of all calls that had their effect, in order.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make([]Run, len(s.log))
+	for i, r := range s.log {
+		runs[i] = *r
+	}
+	return runs
+}
+
+// Handler serves POST /orders, GET /stock, and /echo with any method.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", s.serveOrder)
+	mux.HandleFunc("GET /stock", s.serveStock)
+	mux.HandleFunc("/echo", s.serveEcho)
+	mux.HandleFunc("/echo/", s.serveEcho)
+	return mux
+}
+
+// begin waits for the first latency, logs the run and returns it, nil if the
+// caller left before.
+func (s *Service) begin(r *http.Request, body []byte) (*Run, time.Duration) {
+	s.mu.Lock()
+	before, after := s.cfg.Latency, s.cfg.AfterLatency
+	s.mu.Unlock()
+	select {
+	case <-time.After(before):
+	case <-r.Context().Done():
+		return nil, 0
+	}
+	run := &Run{
+		Method: r.Method, Path: r.URL.Path, Body: string(body), At: time.Now(),
+		Key: r.Header.Get("Idempotency-Key"), Attempt: r.Header.Get("X-Request-Id"),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log = append(s.log, run)
+	run.Number = len(s.log)
+	return run, after
+}
+
+func (s *Service) answer(w http.ResponseWriter, r *http.Request, run *Run, after time.Duration, status int, v any) {
+	select {
+	case <-time.After(after):
+	case <-r.Context().Done():
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	err := json.NewEncoder(w).Encode(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run.Answered = err == nil
+}
+
+func (s *Service) serveOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "incomplete body", http.StatusBadRequest)
+		return
+	}
+	run, after := s.begin(r, body)
+	if run == nil {
+		return
+	}
+	w.Header().Set("Location", "/orders/"+strconv.Itoa(run.Number))
+	s.answer(w, r, run, after, http.StatusCreated, map[string]any{"order": run.Number, "body": string(body)})
+}
+
+func (s *Service) serveStock(w http.ResponseWriter, r *http.Request) {
+	run, after := s.begin(r, nil)
+	if run == nil {
+		return
+	}
+	s.answer(w, r, run, after, http.StatusOK, map[string]int{"vanilla": 40, "mango": 25, "polish": 12})
+}
+
+func (s *Service) serveEcho(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "incomplete body", http.StatusBadRequest)
+		return
+	}
+	run, after := s.begin(r, body)
+	if run == nil {
+		return
+	}
+	s.answer(w, r, run, after, http.StatusOK, Echo{
+		Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Header: r.Header, Host: r.Host, Body: string(body),
+	})
+}
