Add the client of model engines and plain services

Cause: the agent needs to count tokens while they arrive and to know whether a failed request may have run. Requests that must not run twice get a connection of their own, so a failure to connect means that they did not run.

--- a/devel/standin/engine/config.go
+++ b/devel/standin/engine/config.go
@@ -110,6 +110,8 @@
 	MaxTokens int
 	// Priority is higher for more urgent work.
 	Priority int
+	// Chat selects the chunk format of chat completions.
+	Chat bool
 }
 
 // Usage counts the tokens of one request.
--- a/devel/standin/engine/engine.go
+++ b/devel/standin/engine/engine.go
@@ -192,7 +192,7 @@
 	if !running && len(s.tokens) > 0 {
 		usage = s.tokens[len(s.tokens)-1].Usage
 	}
-	s.done, s.canceled = true, running
+	s.done, s.canceled = true, s.canceled || running
 	s.idleSince = time.Now()
 	s.wake()
 	return usage, true
--- a/devel/standin/engine/http.go
+++ b/devel/standin/engine/http.go
@@ -90,6 +90,7 @@
 	req := Request{
 		ID: r.Header.Get("X-Request-Id"), Model: body.Model, Prompt: body.promptText(),
 		MaxTokens: max(body.MaxTokens, body.MaxCompletionTokens), Priority: body.Priority,
+		Chat: strings.Contains(r.URL.Path, "/chat/"),
 	}
 	if req.ID == "" {
 		req.ID = strconv.FormatInt(time.Now().UnixNano(), 36)
@@ -102,7 +103,7 @@
 		writeError(w, status, err)
 		return
 	}
-	e.follow(w, r, req.ID, 0, strings.Contains(r.URL.Path, "/chat/"))
+	e.follow(w, r, req.ID, 0)
 }
 
 func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
@@ -110,13 +111,13 @@
 	if err != nil || after < 0 {
 		after = 0
 	}
-	e.follow(w, r, r.PathValue("id"), after, r.URL.Query().Get("format") != "text")
+	e.follow(w, r, r.PathValue("id"), after)
 }
 
 // follow writes the events of a stream above an event id until it ends, the
 // caller leaves, or the engine crashes. Event n carries token n; the usage chunk
 // follows with the next id.
-func (e *Engine) follow(w http.ResponseWriter, r *http.Request, id string, after int, chat bool) {
+func (e *Engine) follow(w http.ResponseWriter, r *http.Request, id string, after int) {
 	crashed, _ := e.alive()
 	s := e.attach(id)
 	if s == nil {
@@ -129,7 +130,7 @@
 	w.WriteHeader(http.StatusOK)
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
-	out := eventWriter{w: w, model: s.req.Model, id: id, chat: chat}
+	out := eventWriter{w: w, model: s.req.Model, id: id, chat: s.req.Chat}
 	for {
 		tokens, done, canceled, changed := e.next(s, after)
 		for _, t := range tokens {
--- /dev/null
+++ b/internal/engine/event.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"fmt"
+
+	"github.com/tidwall/gjson"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// Usage is what an engine reports about one request, in tokens.
+type Usage struct {
+	Prompt, Output, Cached budget.Tokens
+}
+
+// Event is one chunk of an answer.
+type Event struct {
+	// Tokens is the number of generated tokens that the chunk holds.
+	Tokens uint32
+	// JSON is the chunk in the published format.
+	JSON string
+	// Finished is set if the chunk gives the reason for which a choice ended.
+	Finished bool
+	// Empty is set if the chunk has no choices; it carries the usage then.
+	Empty bool
+	// Usage is nil if the chunk reports none.
+	Usage *Usage
+	// Answer is the id that the engine gave the answer, empty if it gave none.
+	Answer string
+}
+
+// parseEvent reads the fields of a chunk that the agent needs.
+func parseEvent(data []byte) (Event, error) {
+	text := string(data)
+	if !gjson.Valid(text) {
+		return Event{}, fmt.Errorf("%w: invalid JSON", ErrEvent)
+	}
+	root := gjson.Parse(text)
+	if !root.IsObject() {
+		return Event{}, fmt.Errorf("%w: not an object", ErrEvent)
+	}
+	event := Event{JSON: text, Empty: true}
+	listed, generated := -1, 0
+	root.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "id":
+			event.Answer = value.Str
+		case "token_ids":
+			if value.IsArray() {
+				listed = countItems(value)
+			}
+		case "choices":
+			generated = readChoices(value, &event)
+		case "usage":
+			event.Usage = readUsage(value)
+		case "error":
+			generated = 0
+		}
+		return true
+	})
+	if listed >= 0 {
+		generated = listed
+	}
+	event.Tokens = uint32(generated)
+	return event, nil
+}
+
+func countItems(list gjson.Result) int {
+	n := 0
+	list.ForEach(func(_, _ gjson.Result) bool {
+		n++
+		return true
+	})
+	return n
+}
+
+// readChoices notes how choices end and returns the number of tokens for an
+// engine that does not list them: one for each choice with new content.
+func readChoices(choices gjson.Result, event *Event) int {
+	tokens := 0
+	choices.ForEach(func(_, choice gjson.Result) bool {
+		event.Empty = false
+		hasContent := false
+		choice.ForEach(func(key, value gjson.Result) bool {
+			switch key.Str {
+			case "finish_reason":
+				event.Finished = event.Finished || value.Str != ""
+			case "text":
+				hasContent = hasContent || value.Str != ""
+			case "delta":
+				hasContent = hasContent || deltaHasContent(value)
+			}
+			return true
+		})
+		if hasContent {
+			tokens++
+		}
+		return true
+	})
+	return tokens
+}
+
+// deltaHasContent reports whether a chat delta holds anything but its role.
+func deltaHasContent(delta gjson.Result) bool {
+	found := false
+	delta.ForEach(func(key, value gjson.Result) bool {
+		if key.Str == "role" {
+			return true
+		}
+		found = found || (value.Type == gjson.String && value.Str != "") || value.Type == gjson.JSON
+		return true
+	})
+	return found
+}
+
+// readUsage returns nil for a missing usage. Negative counts become 0.
+func readUsage(value gjson.Result) *Usage {
+	if !value.IsObject() {
+		return nil
+	}
+	read := func(path string) budget.Tokens { return max(0, budget.Tokens(value.Get(path).Int())) }
+	return &Usage{
+		Prompt: read("prompt_tokens"), Output: read("completion_tokens"),
+		Cached: read("prompt_tokens_details.cached_tokens"),
+	}
+}
--- /dev/null
+++ b/internal/engine/service.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Method string
+	// Path is the path and query at the service.
+	Path    string
+	Headers []wire.Header
+	Body    []byte
+	// Idempotent calls may use a connection that is already open.
+	Idempotent bool
+}
+
+// Service is the client of one plain service. It is safe for concurrent use.
+type Service struct {
+	url   string
+	fresh *http.Client
+	reuse *http.Client
+}
+
+// NewService returns a client of the service at opts.URL.
+func NewService(opts Options) *Service {
+	opts = opts.withDefaults()
+	return &Service{
+		url:   opts.URL,
+		fresh: &http.Client{Transport: newTransport(opts.Dial, false), CheckRedirect: noRedirect},
+		reuse: &http.Client{Transport: newTransport(opts.Dial, true), CheckRedirect: noRedirect},
+	}
+}
+
+// Close closes idle connections.
+func (s *Service) Close() { s.reuse.CloseIdleConnections() }
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+// Call forwards a call and returns the response, whose body the caller closes.
+// An error that wraps ErrNotSent means that the call certainly did not run; after
+// any other error it may have run.
+//
+// A non-idempotent call gets a connection of its own: on a reused one, a server
+// that closes it for being idle cannot be told from one that took the call.
+func (s *Service) Call(ctx context.Context, call *ServiceCall) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, s.url+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	// Without GetBody the transport cannot send a call a second time, which it
+	// would otherwise do for one with an Idempotency-Key header.
+	req.GetBody = nil
+	if len(call.Body) == 0 {
+		req.Body = http.NoBody
+	}
+	setHeaders(req, call.Headers)
+	client := s.fresh
+	if call.Idempotent {
+		client = s.reuse
+	}
+	resp, err := client.Do(req)
+	if err != nil && !errors.Is(err, ErrNotSent) {
+		return nil, fmt.Errorf("%w: %w", ErrGone, err)
+	}
+	return resp, err
+}
+
+// setHeaders copies the end-to-end headers, but for the caller's credentials.
+func setHeaders(req *http.Request, headers []wire.Header) {
+	dropped := connectionHeaders(headers)
+	for _, h := range headers {
+		name := textproto.CanonicalMIMEHeaderKey(h.Name)
+		switch {
+		case hopByHop[name], dropped[name], name == "Authorization", name == "Content-Length":
+		case name == "Host":
+			req.Host = h.Value
+		default:
+			req.Header[name] = append(req.Header[name], h.Value)
+		}
+	}
+	if _, found := req.Header["User-Agent"]; !found {
+		req.Header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+}
+
+// connectionHeaders returns the names that Connection headers list.
+func connectionHeaders(headers []wire.Header) map[string]bool {
+	var names map[string]bool
+	for _, h := range headers {
+		if !strings.EqualFold(h.Name, "Connection") {
+			continue
+		}
+		for name := range strings.SplitSeq(h.Value, ",") {
+			if names == nil {
+				names = make(map[string]bool)
+			}
+			names[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return names
+}
+
+// ResponseHeaders returns the end-to-end headers of a response.
+func ResponseHeaders(header http.Header) []wire.Header {
+	var listed []wire.Header
+	for _, value := range header["Connection"] {
+		listed = append(listed, wire.Header{Name: "Connection", Value: value})
+	}
+	dropped := connectionHeaders(listed)
+	var out []wire.Header
+	for name, values := range header {
+		if hopByHop[name] || dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			out = append(out, wire.Header{Name: name, Value: value})
+		}
+	}
+	return out
+}
+
+// Health checks that the service accepts connections.
+func (s *Service) Health(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, shortCallTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodHead, s.url+"/", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := s.reuse.Do(req)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxErrorBytes))
+	return resp.Body.Close()
+}
