Add the agent

Cause: attempts need one place beside each server that admits them, bounds what they cost, keeps their answers for readers that come back, and keeps their bills until they are durable.

--- /dev/null
+++ b/internal/agent/assemble.go
@@ -0,0 +1,254 @@
+package agent
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// finishLength is the published reason for an answer that its token limit ended.
+const finishLength = "length"
+
+// assembler builds a whole published answer from the chunks of a stream.
+type assembler struct {
+	chat    bool
+	id      string
+	model   string
+	created int64
+	choices map[int]*choice
+}
+
+// choice is one answer in the making.
+type choice struct {
+	role         string
+	text         map[string]*strings.Builder // by name of the field
+	tools        map[int]*toolCall
+	finishReason string
+	logprobs     []json.RawMessage
+}
+
+type toolCall struct {
+	id, kind  string
+	name      strings.Builder
+	arguments strings.Builder
+}
+
+func newAssembler(chat bool) *assembler {
+	return &assembler{chat: chat, choices: make(map[int]*choice)}
+}
+
+// add takes over one chunk.
+func (s *assembler) add(chunk string) error {
+	root := gjson.Parse(chunk)
+	if s.id == "" {
+		s.id, s.model, s.created = root.Get("id").Str, root.Get("model").Str, root.Get("created").Int()
+	}
+	root.Get("choices").ForEach(func(_, c gjson.Result) bool {
+		s.choice(int(c.Get("index").Int())).add(c)
+		return true
+	})
+	return nil
+}
+
+func (s *assembler) choice(index int) *choice {
+	c := s.choices[index]
+	if c == nil {
+		c = &choice{role: "assistant", text: make(map[string]*strings.Builder), tools: make(map[int]*toolCall)}
+		s.choices[index] = c
+	}
+	return c
+}
+
+func (c *choice) add(chunk gjson.Result) {
+	if reason := chunk.Get("finish_reason").Str; reason != "" {
+		c.finishReason = reason
+	}
+	chunk.Get("logprobs.content").ForEach(func(_, value gjson.Result) bool {
+		c.logprobs = append(c.logprobs, json.RawMessage(value.Raw))
+		return true
+	})
+	if text := chunk.Get("text"); text.Exists() {
+		c.appendText("text", text.Str)
+	}
+	chunk.Get("delta").ForEach(func(key, value gjson.Result) bool {
+		switch {
+		case key.Str == "role":
+			c.role = value.Str
+		case key.Str == "tool_calls":
+			value.ForEach(func(_, call gjson.Result) bool {
+				c.addTool(call)
+				return true
+			})
+		case value.Type == gjson.String:
+			c.appendText(key.Str, value.Str)
+		}
+		return true
+	})
+}
+
+func (c *choice) appendText(field, text string) {
+	b := c.text[field]
+	if b == nil {
+		b = &strings.Builder{}
+		c.text[field] = b
+	}
+	b.WriteString(text)
+}
+
+func (c *choice) addTool(part gjson.Result) {
+	index := int(part.Get("index").Int())
+	t := c.tools[index]
+	if t == nil {
+		t = &toolCall{kind: "function"}
+		c.tools[index] = t
+	}
+	if id := part.Get("id").Str; id != "" {
+		t.id = id
+	}
+	if kind := part.Get("type").Str; kind != "" {
+		t.kind = kind
+	}
+	t.name.WriteString(part.Get("function.name").Str)
+	t.arguments.WriteString(part.Get("function.arguments").Str)
+}
+
+type wholeUsage struct {
+	Prompt budget.Tokens `json:"prompt_tokens"`
+	Output budget.Tokens `json:"completion_tokens"`
+	Total  budget.Tokens `json:"total_tokens"`
+}
+
+func newUsage(prompt, output budget.Tokens) wholeUsage {
+	return wholeUsage{Prompt: prompt, Output: output, Total: prompt + output}
+}
+
+// answer returns the whole answer. With cut set, choices that have not ended get
+// the reason "length".
+func (s *assembler) answer(cut bool, prompt, output budget.Tokens) ([]byte, error) {
+	object := "text_completion"
+	if s.chat {
+		object = "chat.completion"
+	}
+	if len(s.choices) == 0 {
+		s.choice(0)
+	}
+	indexes := make([]int, 0, len(s.choices))
+	for index := range s.choices {
+		indexes = append(indexes, index)
+	}
+	slices.Sort(indexes)
+	choices := make([]map[string]any, 0, len(indexes))
+	for _, index := range indexes {
+		choices = append(choices, s.choices[index].whole(index, s.chat, cut))
+	}
+	return json.Marshal(struct {
+		ID      string           `json:"id"`
+		Object  string           `json:"object"`
+		Created int64            `json:"created"`
+		Model   string           `json:"model"`
+		Choices []map[string]any `json:"choices"`
+		Usage   wholeUsage       `json:"usage"`
+	}{s.id, object, s.created, s.model, choices, newUsage(prompt, output)})
+}
+
+func (c *choice) whole(index int, chat, cut bool) map[string]any {
+	out := map[string]any{"index": index, "logprobs": nil}
+	if c.logprobs != nil {
+		out["logprobs"] = map[string]any{"content": c.logprobs}
+	}
+	reason := c.finishReason
+	if reason == "" && cut {
+		reason = finishLength
+	}
+	out["finish_reason"] = reason
+	if !chat {
+		out["text"] = c.textOf("text")
+		return out
+	}
+	message := map[string]any{"role": c.role, "content": c.textOf("content")}
+	for field := range c.text {
+		message[field] = c.textOf(field)
+	}
+	if len(c.tools) > 0 {
+		message["tool_calls"] = c.wholeTools()
+	}
+	out["message"] = message
+	return out
+}
+
+func (c *choice) textOf(field string) string {
+	if b := c.text[field]; b != nil {
+		return b.String()
+	}
+	return ""
+}
+
+func (c *choice) wholeTools() []any {
+	indexes := make([]int, 0, len(c.tools))
+	for index := range c.tools {
+		indexes = append(indexes, index)
+	}
+	slices.Sort(indexes)
+	calls := make([]any, 0, len(indexes))
+	for _, index := range indexes {
+		t := c.tools[index]
+		calls = append(calls, map[string]any{
+			"id": t.id, "type": t.kind,
+			"function": map[string]string{"name": t.name.String(), "arguments": t.arguments.String()},
+		})
+	}
+	return calls
+}
+
+// emptyChunk returns a chunk for an answer of which nothing was passed on.
+func emptyChunk(at *attempt, chat bool) string {
+	object := "text_completion"
+	if chat {
+		object = "chat.completion.chunk"
+	}
+	encoded, _ := json.Marshal(map[string]any{
+		"id": at.id.String(), "object": object, "created": at.accepted.Unix(), "model": at.req.Target,
+		"choices": []any{},
+	})
+	return string(encoded)
+}
+
+// cutChunk returns the last chunk of an answer that reached its bound, in the
+// shape of an earlier chunk.
+func cutChunk(template string, chat bool) (string, error) {
+	last := map[string]any{"index": gjson.Get(template, "choices.0.index").Int(), "finish_reason": finishLength}
+	if chat {
+		last["delta"] = map[string]string{}
+	} else {
+		last["text"] = ""
+	}
+	return remake(template, map[string]any{"choices": []any{last}})
+}
+
+// usageChunk returns the chunk that reports the usage, in the shape of an earlier
+// chunk.
+func usageChunk(template string, prompt, output budget.Tokens) (string, error) {
+	return remake(template, map[string]any{"choices": []any{}, "usage": newUsage(prompt, output)})
+}
+
+// remake replaces fields of a chunk and drops what belongs to its tokens.
+func remake(template string, fields map[string]any) (string, error) {
+	chunk, err := sjson.Delete(template, "usage")
+	if err != nil {
+		return "", err
+	}
+	if chunk, err = sjson.Set(chunk, "token_ids", []int{}); err != nil {
+		return "", err
+	}
+	for name, value := range fields {
+		if chunk, err = sjson.Set(chunk, name, value); err != nil {
+			return "", err
+		}
+	}
+	return chunk, nil
+}
--- /dev/null
+++ b/internal/agent/service.go
@@ -0,0 +1,75 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/engine"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// serviceReadBytes is how much of a service's answer is passed on at a time.
+const serviceReadBytes = 32 << 10
+
+// runService executes a call of a plain service. Its price is the reservation; a
+// call of which no part of the answer came costs nothing.
+func (a *Agent) runService(at *attempt) (*wire.Done, *budget.Bill) {
+	resp, err := a.service.Call(at.ctx, &engine.ServiceCall{
+		Method: at.req.Method, Path: at.req.Path, Headers: at.req.Headers, Body: at.body,
+		Idempotent: at.req.Idempotent,
+	})
+	if errors.Is(err, engine.ErrNotSent) {
+		a.setDown(true)
+		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeNoServer, Detail: "the service cannot be reached"}, nil
+	}
+	if err != nil {
+		return a.serviceFailed(at, err, verdict.Unknown), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	at.answer.setHead(&wire.Head{
+		Attempt: at.id, Status: resp.StatusCode, Headers: engine.ResponseHeaders(resp.Header),
+	})
+	bill := a.newBill(at, 0, 0, at.req.Reserve)
+	err = a.copyAnswer(at, resp)
+	a.est.finished(sinceDispatch(at), 0, 0)
+	if err != nil {
+		return a.serviceFailed(at, err, verdict.Ran), bill
+	}
+	return &wire.Done{Verdict: verdict.Ran}, bill
+}
+
+func (a *Agent) copyAnswer(at *attempt, resp *http.Response) error {
+	buffer := make([]byte, serviceReadBytes)
+	for {
+		n, err := resp.Body.Read(buffer)
+		if n > 0 {
+			if appendErr := at.answer.append(at.ctx, 0, buffer[:n]); appendErr != nil {
+				return appendErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// serviceFailed returns the end of a call whose answer is not whole.
+func (a *Agent) serviceFailed(at *attempt, err error, v verdict.Verdict) *wire.Done {
+	if cause := context.Cause(at.ctx); cause != nil {
+		err = cause
+	}
+	done := &wire.Done{Verdict: v, Code: codeOf(err), Detail: err.Error()}
+	if errors.Is(err, errCanceled) || errors.Is(err, errRouterGone) || errors.Is(err, errDeadline) {
+		return done
+	}
+	a.serverLost(at, err)
+	done.Code, done.Detail = verdict.CodeServerLost, "the service was lost while it ran the request"
+	return done
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -306,6 +306,7 @@
 			return nil
 		}
 		if raw.id != 0 && raw.id <= r.lastID {
+			stall.reset()
 			continue // repeated by the engine after a resume
 		}
 		if err := r.deliver(raw, stall); err != nil {
