--- /dev/null
+++ b/internal/admission/metrics.go
@@ -0,0 +1,36 @@
+package admission
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
+)
+
+// Size and decay of the sample of waits, see go-metrics: 0.015 weighs the last
+// five minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
+// stats are the metrics of a controller. All are safe for concurrent use.
+type stats struct {
+	registry   metrics.Registry
+	running    metrics.Gauge
+	queued     metrics.Gauge
+	waitMillis metrics.Histogram
+}
+
+func newStats(r metrics.Registry) stats {
+	return stats{
+		registry: r,
+		running:  metrics.GetOrRegisterGauge("monsoon.admission.running_requests", r),
+		queued:   metrics.GetOrRegisterGauge("monsoon.admission.queued_requests", r),
+		waitMillis: metrics.GetOrRegisterHistogram("monsoon.admission.wait_ms", r,
+			metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+}
+
+func (s *stats) refused(code verdict.Code) {
+	metrics.GetOrRegisterCounter("monsoon.admission.refused_requests."+string(code), s.registry).Inc(1)
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
+)
+
+// newServer returns the HTTP server of g. It has no overall read or write
+// timeout, since these would cut long streams; the handlers set deadlines for
+// each body and each write.
+func newServer(g *Gateway) *http.Server {
+	return &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: g.opts.HeaderTimeout,
+		IdleTimeout:       g.opts.IdleTimeout,
+		MaxHeaderBytes:    g.opts.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(g.opts.Logger.Handler(), slog.LevelDebug),
+	}
+}
+
+// Serve accepts callers on ln until Shutdown. It returns nil after Shutdown.
+func (g *Gateway) Serve(ln net.Listener) error {
+	limited := netutil.LimitListener(refusalListener{ln}, g.opts.MaxConns)
+	if err := g.server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// Drain refuses new calls from now on and waits until the calls in progress
+// have ended. It cuts off nothing: if ctx ends first it returns an error with
+// the number of calls in progress, and can be called again.
+func (g *Gateway) Drain(ctx context.Context) error {
+	idle := g.calls.drain()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%d calls in progress: %w", g.InProgress(), ctx.Err())
+	}
+}
+
+// Shutdown stops accepting callers and waits until every connection has been
+// closed or ctx ends. Call it after Drain: it also waits for the last bytes of
+// finished answers.
+func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
+
+// InProgress returns the number of calls that have not ended.
+func (g *Gateway) InProgress() int { return g.calls.inProgress() }
+
+// callCount counts calls in progress and refuses new ones while draining. Its
+// mutex is held only inside its methods.
+type callCount struct {
+	gauge metrics.Gauge
+
+	mu       sync.Mutex
+	n        int
+	draining bool
+	idle     chan struct{} // closed when draining and n is 0
+}
+
+// begin counts a new call, or returns false if the gateway is draining.
+func (c *callCount) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.draining {
+		return false
+	}
+	c.n++
+	c.gauge.Update(int64(c.n))
+	return true
+}
+
+func (c *callCount) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.n--
+	c.gauge.Update(int64(c.n))
+	if c.draining && c.n == 0 {
+		close(c.idle)
+	}
+}
+
+// drain makes begin refuse and returns a channel that is closed at the end of
+// the last call.
+func (c *callCount) drain() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.draining {
+		c.draining = true
+		c.idle = make(chan struct{})
+		if c.n == 0 {
+			close(c.idle)
+		}
+	}
+	return c.idle
+}
+
+func (c *callCount) inProgress() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.n
+}
+
+func (c *callCount) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining
+}
