--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
-	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/dispatch"
 	"github.com/monsoonworks/monsoonworks/internal/prefix"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
--- a/internal/verdict/problem_test.go
+++ b/internal/verdict/problem_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -53,7 +54,7 @@
 // against a Retry-After that is too early by rounding.
 func TestProblemBody(t *testing.T) {
 	c := qt.New(t)
-	e := New(NotRun, CodeOverloaded, "queue is full").WithCause(json.Unmarshal([]byte("secret"), nil))
+	e := New(NotRun, CodeOverloaded, "queue is full").WithCause(errors.New("secret"))
 	raw, err := json.Marshal(e.Problem("id-1"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(raw), qt.Equals, `{"type":"urn:monsoonworks:problem:overloaded","title":"The request cannot start in time","status":503,"detail":"queue is full","code":"overloaded","verdict":"not-run","request_id":"id-1","error":{"type":"server_error","code":"overloaded","message":"queue is full","verdict":"not-run","request_id":"id-1"}}`)
