--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -137,8 +137,9 @@
 // frameReader reads frames. It reuses one buffer and is not safe for concurrent
 // use.
 type frameReader struct {
-	r   *bufio.Reader
-	buf []byte
+	r      *bufio.Reader
+	header [frameHeaderBytes]byte // a field, so that read does not allocate it
+	buf    []byte
 }
 
 func newFrameReader(r io.Reader) *frameReader {
@@ -146,7 +147,7 @@
 }
 
 func (fr *frameReader) read() (Frame, error) {
-	var header [frameHeaderBytes]byte
+	header := &fr.header
 	if _, err := io.ReadFull(fr.r, header[:]); err != nil {
 		return Frame{}, err
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -178,6 +178,8 @@
 	Load Load         `cbor:"6,keyasint"`
 	// Crashed is set if the server died while the attempt was in progress.
 	Crashed bool `cbor:"7,keyasint,omitempty"`
+	// CrashID is the id of that crash, as in the agent's SuspectReport.
+	CrashID uuid.UUID `cbor:"8,keyasint"`
 }
 
 // ProbeArgs asks an agent how long a request would wait.
@@ -332,8 +334,23 @@
 	ServerBoot   budget.Boot `cbor:"2,keyasint"`
 	CrashID      uuid.UUID   `cbor:"3,keyasint"`
 	Fingerprints []uint64    `cbor:"4,keyasint"`
+	// Route says how the report came, so that it is passed on exactly once.
+	Route ReportRoute `cbor:"5,keyasint,omitempty"`
 }
 
+// ReportRoute is the way of a SuspectReport.
+type ReportRoute uint8
+
+const (
+	// ReportDirect is sent to each router of the server's region.
+	ReportDirect ReportRoute = iota
+	// ReportOtherRegion is sent by a home router to one router of each other
+	// region.
+	ReportOtherRegion
+	// ReportSpread is sent by that router to the routers of its region.
+	ReportSpread
+)
+
 // PermitArgs asks a suspect's home router for permission to run it once.
 type PermitArgs struct {
 	Fingerprint uint64    `cbor:"1,keyasint"`
@@ -342,6 +359,9 @@
 	// its end.
 	Finished  bool `cbor:"3,keyasint,omitempty"`
 	Completed bool `cbor:"4,keyasint,omitempty"`
+	// Crashes holds the crashes that the asking router knows of, for a home
+	// router that started after they were reported.
+	Crashes []uuid.UUID `cbor:"5,keyasint,omitempty"`
 }
 
 // PermitReply answers PermitArgs.
--- a/internal/wire/rpc.go
+++ b/internal/wire/rpc.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/rpc"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/yamux"
 )
 
@@ -26,13 +27,19 @@
 	conn io.ReadWriteCloser
 	r    *bufio.Reader
 	buf  []byte
+	// malformed is told of input that breaks the protocol; net/rpc itself
+	// answers such input with an error and reads on.
+	malformed func(error)
 }
 
-func newRPCCodec(conn io.ReadWriteCloser) *rpcCodec {
-	return &rpcCodec{conn: conn, r: bufio.NewReader(conn)}
+func newRPCCodec(conn io.ReadWriteCloser, malformed func(error)) *rpcCodec {
+	return &rpcCodec{conn: conn, r: bufio.NewReader(conn), malformed: malformed}
 }
 
 func (c *rpcCodec) write(header rpcHeader, body any) error {
+	if cap(c.buf) > maxKeptBytes {
+		c.buf = nil
+	}
 	c.buf = c.buf[:0]
 	for _, part := range []any{header, body} {
 		encoded, err := encMode.Marshal(part)
@@ -49,7 +56,18 @@
 	return err
 }
 
+// maxKeptBytes bounds the write buffer that a codec keeps between messages.
+const maxKeptBytes = 64 << 10
+
 func (c *rpcCodec) read(into any) error {
+	err := c.readMessage(into)
+	if err != nil {
+		c.malformed(err)
+	}
+	return err
+}
+
+func (c *rpcCodec) readMessage(into any) error {
 	var prefix [4]byte
 	if _, err := io.ReadFull(c.r, prefix[:]); err != nil {
 		return err
@@ -89,7 +107,18 @@
 	if r.Error != "" {
 		body = Empty{}
 	}
-	return c.write(rpcHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	err := c.write(rpcHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+	if err != nil && len(r.Error) == 0 && !c.broken(err) {
+		// Without this answer the caller would wait for its whole deadline.
+		return c.write(rpcHeader{Method: r.ServiceMethod, Seq: r.Seq, Error: err.Error()}, Empty{})
+	}
+	return err
+}
+
+// broken reports whether err came from the connection, not from encoding.
+func (c *rpcCodec) broken(err error) bool {
+	var unsupported *cbor.UnsupportedTypeError
+	return !errors.Is(err, ErrFrameTooLarge) && !errors.As(err, &unsupported)
 }
 
 // WriteRequest implements rpc.ClientCodec.
@@ -121,29 +150,27 @@
 	if server == nil {
 		return
 	}
-	server.ServeCodec(newRPCCodec(stream))
+	server.ServeCodec(newRPCCodec(stream, s.failMalformed))
 }
 
 // ErrCall wraps an error that the peer's method returned.
 var ErrCall = errors.New("remote call failed")
 
 // Call calls a method of the peer and waits for the answer or the end of ctx.
-// After ctx has ended the call may still run at the peer. reply must not be used
-// after an error.
+// After ctx has ended the call may still run at the peer. args must not be
+// changed, and reply not be used, after an error.
 func (s *Session) Call(ctx context.Context, method string, args, reply any) error {
-	client, err := s.client()
-	if err != nil {
+	if err := ctx.Err(); err != nil {
 		return err
 	}
 	defer s.use()()
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan error, 1)
+	// The write of a request can block on a silent peer, so it has a goroutine
+	// of its own.
+	go func() { done <- s.callNow(method, args, reply) }()
 	select {
-	case <-call.Done:
-		var remote rpc.ServerError
-		if errors.As(call.Error, &remote) {
-			return fmt.Errorf("%w: %s: %s", ErrCall, method, remote)
-		}
-		return call.Error
+	case err := <-done:
+		return err
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-s.ctx.Done():
@@ -151,6 +178,33 @@
 	}
 }
 
+func (s *Session) callNow(method string, args, reply any) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	err = client.Call(method, args, reply)
+	var remote rpc.ServerError
+	if errors.As(err, &remote) {
+		return fmt.Errorf("%w: %s: %s", ErrCall, method, remote)
+	}
+	if err != nil {
+		s.dropClient(client)
+	}
+	return err
+}
+
+// dropClient forgets a client whose stream has ended, so that the next call
+// opens another one.
+func (s *Session) dropClient(client *rpc.Client) {
+	s.rpcMu.Lock()
+	if s.rpcClient == client {
+		s.rpcClient = nil
+	}
+	s.rpcMu.Unlock()
+	_ = client.Close()
+}
+
 // client returns the RPC client, which uses one stream of the session for all
 // calls.
 func (s *Session) client() (*rpc.Client, error) {
@@ -167,6 +221,6 @@
 		_ = stream.Close()
 		return nil, err
 	}
-	s.rpcClient = rpc.NewClientWithCodec(newRPCCodec(stream))
+	s.rpcClient = rpc.NewClientWithCodec(newRPCCodec(stream, s.failMalformed))
 	return s.rpcClient, nil
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -33,6 +33,10 @@
 	IdleTimeout = 10 * time.Minute
 )
 
+// watchInterval is how often a session checks its peer, so that a silent peer is
+// noticed within SilenceTimeout plus this.
+const watchInterval = HeartbeatInterval / 3
+
 const nonceBytes = 16
 
 // Errors of a session.
@@ -81,7 +85,12 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	inUse    atomic.Int64
-	lastUse  atomic.Int64 // monotonic nanoseconds since Established
+	lastUse  atomic.Int64 // nanoseconds since conn.start
+	// asked is the time of the first use since the last bytes came in, in
+	// nanoseconds since conn.start. Silence is counted from it, not from the last
+	// use: steady new requests would otherwise hide that none is answered.
+	asked   atomic.Int64
+	pinging atomic.Bool
 
 	rpcMu     sync.Mutex
 	rpcClient *rpc.Client
@@ -97,7 +106,17 @@
 	if opts.TLS != nil {
 		conn = tls.Client(conn, opts.TLS)
 	}
-	return newSession(conn, opts, services, true)
+	// The handshake does not outlive ctx.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s, err := newSession(conn, opts, services, true)
+	if !stop() && err == nil {
+		s.Close()
+		err = ctx.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // Accept authenticates the peer of an accepted connection.
@@ -125,6 +144,7 @@
 		conn: counting, mux: mux, services: services,
 	}
 	s.ctx, s.cancel = context.WithCancelCause(context.Background())
+	s.lastUse.Store(int64(counting.since()))
 	go s.acceptStreams()
 	go s.watch()
 	return s, nil
@@ -240,18 +260,28 @@
 
 // use marks the session as in use until the returned function is called.
 func (s *Session) use() func() {
+	now := int64(s.conn.since())
 	s.inUse.Add(1)
-	s.lastUse.Store(int64(time.Since(s.Established)))
+	s.lastUse.Store(now)
+	if asked := s.asked.Load(); asked <= s.conn.lastRead.Load() {
+		s.asked.CompareAndSwap(asked, now)
+	}
 	return sync.OnceFunc(func() {
-		s.lastUse.Store(int64(time.Since(s.Established)))
+		s.lastUse.Store(int64(s.conn.since()))
 		s.inUse.Add(-1)
 	})
 }
 
+// Touch makes both sides count the session as used now.
+func (s *Session) Touch() {
+	s.use()()
+	go func() { _, _ = s.mux.Ping() }()
+}
+
 // watch sends heartbeats while the session is in use and closes it when it is
 // silent or idle for too long.
 func (s *Session) watch() {
-	ticker := time.NewTicker(HeartbeatInterval / 2)
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -267,19 +297,23 @@
 }
 
 func (s *Session) checkAlive() {
-	if s.inUse.Load() == 0 {
-		if time.Since(s.Established)-time.Duration(s.lastUse.Load()) > IdleTimeout {
+	now := s.conn.since()
+	lastRead, asked := time.Duration(s.conn.lastRead.Load()), time.Duration(s.asked.Load())
+	if s.inUse.Load() == 0 && asked <= lastRead {
+		if now-max(time.Duration(s.lastUse.Load()), lastRead) > IdleTimeout {
 			s.fail(ErrNotReady)
 		}
 		return
 	}
-	sinceUse := time.Since(s.Established) - time.Duration(s.lastUse.Load())
-	silence := min(s.conn.silence(), sinceUse)
-	switch {
+	// Bytes that came in before the first unanswered use say nothing about it.
+	switch silence := now - max(lastRead, asked); {
 	case silence > SilenceTimeout:
 		s.fail(ErrSilent)
-	case silence > HeartbeatInterval/2:
-		go func() { _, _ = s.mux.Ping() }()
+	case silence > HeartbeatInterval/2 && s.pinging.CompareAndSwap(false, true):
+		go func() {
+			defer s.pinging.Store(false)
+			_, _ = s.mux.Ping()
+		}()
 	}
 }
 
@@ -318,6 +352,5 @@
 	return n, err
 }
 
-func (c *countingConn) silence() time.Duration {
-	return time.Since(c.start) - time.Duration(c.lastRead.Load())
-}
+// since is the time since the connection was made.
+func (c *countingConn) since() time.Duration { return time.Since(c.start) }
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -24,6 +24,7 @@
 // RouterStream is a router's end of an exec stream. Next is called from one
 // goroutine; Cancel and Close may be called from any.
 type RouterStream struct {
+	session *Session
 	stream  *yamux.Stream
 	reader  *frameReader
 	tag     Tag
@@ -41,8 +42,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrSendIncomplete, err)
 	}
+	// A peer that does not read leaves a write blocked; the end of ctx ends it.
+	stop := context.AfterFunc(ctx, x.Close)
 	req.BodyBytes = len(body)
-	if err := x.sendRequest(req, body); err != nil {
+	err = x.sendRequest(req, body)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		x.Close()
 		return nil, err
 	}
@@ -56,7 +63,14 @@
 // sendRequest writes the request's frames. Only a failure of the last write
 // leaves it open whether the agent has the whole request.
 func (x *RouterStream) sendRequest(req *ExecRequest, body []byte) error {
-	if err := x.writer.writeMessage(FrameExec, x.tag, req); err != nil {
+	if len(body) > MaxBodyBytes {
+		return fmt.Errorf("%w: body of %d bytes", ErrSendIncomplete, len(body))
+	}
+	payload, err := encMode.Marshal(req)
+	if err != nil || len(payload) > MaxFrameBytes {
+		return fmt.Errorf("%w: request header of %d bytes: %v", ErrSendIncomplete, len(payload), err)
+	}
+	if err := x.writer.write(FrameExec, x.tag, 0, payload); err != nil {
 		if len(body) > 0 {
 			return fmt.Errorf("%w: %v", ErrSendIncomplete, err)
 		}
@@ -104,7 +118,7 @@
 		return nil, err
 	}
 	return &RouterStream{
-		stream: stream, reader: newFrameReader(stream), tag: tag, release: release,
+		session: s, stream: stream, reader: newFrameReader(stream), tag: tag, release: release,
 		writer: frameWriter{w: stream},
 	}, nil
 }
@@ -115,6 +129,7 @@
 	for {
 		f, err := x.reader.read()
 		if err != nil {
+			x.session.failMalformed(err)
 			return Frame{}, noEOF(err)
 		}
 		if f.Tag == x.tag {
@@ -141,10 +156,11 @@
 // AgentStream is an agent's end of an exec stream. Its Send methods are called
 // from one goroutine at a time.
 type AgentStream struct {
-	stream *yamux.Stream
-	reader *frameReader
-	writer frameWriter
-	tag    Tag
+	session *Session
+	stream  *yamux.Stream
+	reader  *frameReader
+	writer  frameWriter
+	tag     Tag
 }
 
 // serveStream handles a stream that the peer opened. A malformed stream closes
@@ -167,8 +183,12 @@
 
 func (s *Session) serveExec(stream *yamux.Stream) {
 	defer s.use()()
-	a := &AgentStream{stream: stream, reader: newFrameReader(stream), writer: frameWriter{w: stream}}
-	err := s.dispatchExec(a)
+	a := &AgentStream{session: s, stream: stream, reader: newFrameReader(stream), writer: frameWriter{w: stream}}
+	s.failMalformed(s.dispatchExec(a))
+}
+
+// failMalformed closes the session if err says that the peer broke the protocol.
+func (s *Session) failMalformed(err error) {
 	if errors.Is(err, ErrMalformed) || errors.Is(err, ErrFrameTooLarge) {
 		s.fail(err)
 	}
@@ -221,10 +241,13 @@
 	for len(body) < n {
 		f, err := a.reader.read()
 		if err != nil {
+			a.session.failMalformed(err)
 			return nil, noEOF(err)
 		}
 		if f.Type != FrameBody || f.Tag != a.tag || len(body)+len(f.Payload) > n || len(f.Payload) == 0 {
-			return nil, fmt.Errorf("%w: unexpected frame in body", ErrMalformed)
+			err := fmt.Errorf("%w: unexpected frame in body", ErrMalformed)
+			a.session.failMalformed(err)
+			return nil, err
 		}
 		body = append(body, f.Payload...)
 	}
@@ -237,6 +260,7 @@
 	for {
 		f, err := a.reader.read()
 		if err != nil {
+			a.session.failMalformed(err)
 			return false
 		}
 		if f.Tag == a.tag && f.Type == FrameCancel {
