--- /dev/null
+++ b/internal/route/probe.go
@@ -0,0 +1,93 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+const (
+	// unfit is the expected time of a server that cannot take the request at all.
+	unfit = time.Hour
+	// minRequestCost is the least that a request which was sent after a probe adds
+	// to the time that the probe reported.
+	minRequestCost = 5 * time.Millisecond
+)
+
+// Probe implements Candidates. It takes at most the view's timeout.
+func (v *view) Probe(ctx context.Context, servers []int, estimates []Estimate) {
+	ctx, cancel := context.WithTimeout(ctx, v.timeout)
+	defer cancel()
+	args := &wire.ProbeArgs{
+		Target: v.q.Target, PromptTokens: v.q.PromptTokens, Prefixes: v.q.Prefixes, Priority: v.q.Priority,
+	}
+	var group sync.WaitGroup
+	for k, i := range servers {
+		group.Go(func() { estimates[k] = v.r.probe(ctx, v.servers[i], args) })
+	}
+	group.Wait()
+}
+
+// probe asks one server over its open session. It never dials: a server without
+// a session is not known to be alive.
+func (r *Router) probe(ctx context.Context, s *server, args *wire.ProbeArgs) Estimate {
+	s.mu.Lock()
+	address, sent := s.host.Address, s.sent
+	remote := s.host.Region != r.Region
+	s.mu.Unlock()
+	session, open := r.Sessions.Open(address)
+	if !open && remote {
+		session, open = r.openRemote(ctx, address)
+	}
+	if !open {
+		return Estimate{}
+	}
+	r.probes.Inc(1)
+	var reply wire.ProbeReply
+	if err := session.Call(ctx, "Agent.Probe", args, &reply); err != nil {
+		r.silences.Inc(1)
+		s.unanswered(time.Now(), ctx)
+		return Estimate{}
+	}
+	return s.estimate(session, sent, &reply)
+}
+
+// openRemote opens a session to another region, which is not kept open.
+func (r *Router) openRemote(ctx context.Context, address string) (*wire.Session, bool) {
+	session, err := r.Sessions.Get(ctx, address)
+	return session, err == nil
+}
+
+// unanswered notes a probe without an answer, unless the request itself ended.
+func (s *server) unanswered(now time.Time, ctx context.Context) {
+	if context.Cause(ctx) == context.Canceled {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silences++
+	if s.silences >= silencesToEject {
+		s.eject(now)
+	}
+}
+
+// estimate turns an answer into an estimate. Requests that this router has sent
+// since the probe left are not in the answer and are added.
+func (s *server) estimate(session *wire.Session, sentBefore uint64, reply *wire.ProbeReply) Estimate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.answered(now, session.Peer.Boot)
+	s.setLoad(now, reply.Load)
+	e := Estimate{Known: true, CachedTokens: reply.CachedTokens}
+	if !reply.Serves || reply.Load.Draining {
+		e.FirstToken = unfit
+		return e
+	}
+	e.FirstToken = time.Duration(reply.FirstTokenMillis) * time.Millisecond
+	cost := max(e.FirstToken/time.Duration(reply.Load.Queued+1), minRequestCost)
+	e.FirstToken += time.Duration(s.sent-sentBefore) * cost
+	return e
+}
