--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -162,7 +162,7 @@
 		r.table.permit(args)
 		return
 	}
-	r.background(func(ctx context.Context) { r.send(ctx, home, "Suspect.Permit", args, &wire.PermitReply{}) })
+	r.background(func(ctx context.Context) { r.send(ctx, home, "Suspect.Permit", args, newPermitReply) })
 }
 
 // Crashed notes a crash that this router has noticed and tells the routers of its
@@ -211,7 +211,7 @@
 			continue
 		}
 		group.Go(func() error {
-			r.send(ctx, router, "Suspect.Report", report, &wire.Empty{})
+			r.send(ctx, router, "Suspect.Report", report, newEmpty)
 			return nil
 		})
 	}
@@ -244,7 +244,7 @@
 	}
 	for name, forward := range forwards {
 		target := targets[name]
-		r.background(func(ctx context.Context) { r.send(ctx, target, "Suspect.Report", forward, &wire.Empty{}) })
+		r.background(func(ctx context.Context) { r.send(ctx, target, "Suspect.Report", forward, newEmpty) })
 	}
 }
 
@@ -286,11 +286,12 @@
 	r.tasks.Go(func() { task(r.ctx) })
 }
 
-// send sends a message that nobody waits for. reply is never read.
-func (r *Registry) send(ctx context.Context, to hosts.Host, method string, args, reply any) {
+// send sends a message that nobody waits for. Each try has a reply of its own,
+// because an abandoned call may still write to it.
+func (r *Registry) send(ctx context.Context, to hosts.Host, method string, args any, reply func() any) {
 	for range sendTries {
 		tryCtx, cancel := context.WithTimeout(ctx, reportTimeout)
-		err := r.Peers.Call(tryCtx, to.Address, method, args, reply)
+		err := r.Peers.Call(tryCtx, to.Address, method, args, reply())
 		cancel()
 		if err == nil || ctx.Err() != nil {
 			return
@@ -298,6 +299,9 @@
 	}
 }
 
+func newEmpty() any       { return new(wire.Empty) }
+func newPermitReply() any { return new(wire.PermitReply) }
+
 // Suspect is the receiver of the RPC service of that name.
 type Suspect struct{ registry *Registry }
 
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -41,12 +41,13 @@
 // NewPool returns a pool whose sessions introduce this process with opts and
 // offer services to their peers. Close releases it.
 func NewPool(opts Options, services Services) *Pool {
-	return newPool(func(ctx context.Context, address string) (*Session, error) {
+	return NewPoolWith(func(ctx context.Context, address string) (*Session, error) {
 		return Dial(ctx, address, opts, services)
 	})
 }
 
-func newPool(dial func(context.Context, string) (*Session, error)) *Pool {
+// NewPoolWith returns a pool that opens its sessions with dial.
+func NewPoolWith(dial func(context.Context, string) (*Session, error)) *Pool {
 	p := &Pool{dial: dial, sessions: map[string]*Session{}, kept: map[string]context.CancelFunc{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
@@ -90,6 +91,10 @@
 	if s, ok := p.Open(address); ok {
 		return s, nil
 	}
+	if !p.begin() {
+		return nil, ErrNotReady
+	}
+	defer p.tasks.Done()
 	ctx, cancel := context.WithTimeout(p.ctx, HandshakeTimeout)
 	defer cancel()
 	s, err := p.dial(ctx, address)
@@ -106,6 +111,18 @@
 	return s, nil
 }
 
+// begin counts a dial for Close to wait for. It reports false once the pool is
+// closed.
+func (p *Pool) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.tasks.Add(1)
+	return true
+}
+
 // Keep makes the pool hold sessions to exactly these addresses open, and redial
 // them after a loss. Sessions to other addresses stay until they are idle.
 func (p *Pool) Keep(addresses []string) {
@@ -180,8 +197,8 @@
 
 // Close ends all sessions and waits for the pool's goroutines.
 func (p *Pool) Close() {
-	p.cancel()
 	p.mu.Lock()
+	p.cancel()
 	for _, s := range p.sessions {
 		s.Close()
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -103,6 +103,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return Connect(ctx, conn, opts, services)
+}
+
+// Connect is Dial over a connection that exists already. It owns conn.
+func Connect(ctx context.Context, conn net.Conn, opts Options, services Services) (*Session, error) {
 	if opts.TLS != nil {
 		conn = tls.Client(conn, opts.TLS)
 	}
--- /dev/null
+++ b/internal/wire/session_test.go
@@ -0,0 +1,377 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/monsoonworks/monsoonworks/internal/wire/wiretest"
+)
+
+var testSecret = []byte("secret of the deployment")
+
+func hello(role Role, name string) Hello {
+	return Hello{Role: role, Name: name, Region: "north", Domain: "north-a", Boot: uuid.Must(uuid.NewV7())}
+}
+
+type accepted struct {
+	session *Session
+	err     error
+}
+
+// connect makes both ends of a session over an in-memory connection.
+func connect(t *testing.T, router, agent Options, services Services) (*Session, error, accepted, *wiretest.Conn) {
+	t.Helper()
+	client, server := wiretest.Pipe()
+	result := make(chan accepted, 1)
+	go func() {
+		s, err := Accept(server, agent, services)
+		result <- accepted{s, err}
+	}()
+	s, err := Connect(t.Context(), client, router, Services{})
+	other := <-result
+	t.Cleanup(func() {
+		for _, s := range []*Session{s, other.session} {
+			if s != nil {
+				s.Close()
+			}
+		}
+	})
+	return s, err, other, client
+}
+
+func mustConnect(t *testing.T, services Services) (*Session, *Session, *wiretest.Conn) {
+	t.Helper()
+	router := Options{Hello: hello(RoleRouter, "r1"), Secret: testSecret}
+	agent := Options{Hello: hello(RoleAgent, "s1"), Secret: testSecret}
+	s, err, other, conn := connect(t, router, agent, services)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, other.err, qt.IsNil)
+	return s, other.session, conn
+}
+
+// Guards against peers of another deployment.
+func TestHandshakeWrongSecret(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		router := Options{Hello: hello(RoleRouter, "r1"), Secret: []byte("another")}
+		agent := Options{Hello: hello(RoleAgent, "s1"), Secret: testSecret}
+		_, err, other, _ := connect(t, router, agent, Services{})
+		c.Assert(err, qt.Not(qt.IsNil))
+		c.Assert(other.err, qt.ErrorIs, ErrAuth)
+	})
+}
+
+// Guards against a session between builds that share no protocol version, and
+// against an unauthenticated peer that announces a huge hello.
+func TestHandshakeBadHello(t *testing.T) {
+	future, err := encMode.Marshal(Hello{MinVersion: MaxVersion + 1, MaxVersion: MaxVersion + 3, Nonce: make([]byte, nonceBytes)})
+	qt.Assert(t, err, qt.IsNil)
+	for name, test := range map[string]struct {
+		payload []byte
+		want    error
+	}{
+		"version":   {future, ErrVersion},
+		"huge":      {make([]byte, maxHelloBytes+1), ErrMalformed},
+		"malformed": {[]byte{0xff, 0x00}, ErrMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wiretest.Bubble(t, func(t *testing.T) {
+				client, server := wiretest.Pipe()
+				go func() {
+					w := &frameWriter{w: client}
+					_ = w.write(FrameHello, 0, 0, test.payload)
+					_, _ = io.Copy(io.Discard, client)
+					_ = client.Close()
+				}()
+				_, err := Accept(server, Options{Hello: hello(RoleAgent, "s1"), Secret: testSecret}, Services{})
+				qt.Assert(t, err, qt.ErrorIs, test.want)
+			})
+		})
+	}
+}
+
+// Guards against a dialer that waits for a silent listener beyond its context.
+func TestHandshakeEndsWithContext(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		client, server := wiretest.Pipe()
+		defer server.Close()
+		client.Freeze()
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := Connect(ctx, client, Options{Hello: hello(RoleRouter, "r1")}, Services{})
+		qt.Assert(t, err, qt.Not(qt.IsNil))
+		qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue)
+	})
+}
+
+// Guards against open connections that go silent for good, also when new
+// requests keep coming in meanwhile.
+func TestSilentSessionCloses(t *testing.T) {
+	for _, steady := range []bool{false, true} {
+		t.Run(fmt.Sprintf("steady=%v", steady), func(t *testing.T) {
+			wiretest.Bubble(t, func(t *testing.T) {
+				s, _, conn := mustConnect(t, Services{Exec: func(ctx context.Context, _ Hello, a *AgentStream, _ *ExecRequest) {
+					<-ctx.Done()
+				}})
+				time.Sleep(time.Minute)
+				conn.Freeze()
+				start := time.Now()
+				closed := make(chan time.Duration, 1)
+				context.AfterFunc(s.ctx, func() { closed <- time.Since(start) })
+				for s.Err() == nil && time.Since(start) < 5*time.Second {
+					x, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, nil)
+					if err != nil {
+						break
+					}
+					if steady {
+						time.Sleep(300 * time.Millisecond)
+						x.Close()
+						continue
+					}
+					_, err = x.Next()
+					qt.Assert(t, err, qt.Not(qt.IsNil))
+				}
+				qt.Assert(t, s.Err(), qt.ErrorIs, ErrSilent)
+				after := <-closed
+				qt.Assert(t, after <= 3500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+			})
+		})
+	}
+}
+
+// Guards against the loss of sessions that are slow but alive: an attempt that
+// produces nothing for a minute, and an unused session that is kept.
+func TestQuietSessionStaysOpen(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		s, _, _ := mustConnect(t, Services{Exec: func(_ context.Context, _ Hello, a *AgentStream, req *ExecRequest) {
+			time.Sleep(time.Minute)
+			_ = a.Finish(&Done{Attempt: req.Attempt})
+		}})
+		x, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		f, err := x.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, f.Type, qt.Equals, FrameDone)
+		x.Close()
+		time.Sleep(IdleTimeout * 9 / 10)
+		s.Touch()
+		time.Sleep(IdleTimeout * 9 / 10)
+		qt.Assert(t, s.Err(), qt.IsNil)
+		time.Sleep(IdleTimeout)
+		qt.Assert(t, s.Err(), qt.Not(qt.IsNil))
+	})
+}
+
+// Guards against malformed input that does more damage than the loss of its own
+// session.
+func TestMalformedFrameClosesOnlyItsSession(t *testing.T) {
+	oversized := appendFrameHeader([]byte{streamExec}, FrameExec, 0, 0, MaxFrameBytes+1)
+	badExec := append(appendFrameHeader([]byte{streamExec}, FrameExec, 1, 0, 1), 0xff)
+	wrongTag := func() []byte {
+		payload, _ := encMode.Marshal(ExecRequest{Attempt: uuid.Must(uuid.NewV7())})
+		return append(appendFrameHeader([]byte{streamExec}, FrameExec, 1, 0, len(payload)), payload...)
+	}()
+	for name, input := range map[string][]byte{
+		"stream kind": {99}, "oversized frame": oversized, "not CBOR": badExec, "wrong tag": wrongTag,
+		"oversized call": {streamRPC, 0xff, 0xff, 0xff, 0xff}, "call not CBOR": {streamRPC, 0, 0, 0, 1, 0xff},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wiretest.Bubble(t, func(t *testing.T) {
+				services := Services{
+					RPC:  func(Hello) *rpc.Server { return rpc.NewServer() },
+					Exec: func(context.Context, Hello, *AgentStream, *ExecRequest) {},
+				}
+				bad, badAgent, _ := mustConnect(t, services)
+				good, _, _ := mustConnect(t, services)
+				stream, err := bad.mux.OpenStream()
+				qt.Assert(t, err, qt.IsNil)
+				_, err = stream.Write(input)
+				qt.Assert(t, err, qt.IsNil)
+				<-badAgent.Done()
+				<-bad.Done()
+				time.Sleep(time.Second)
+				qt.Assert(t, good.Err(), qt.IsNil)
+			})
+		})
+	}
+}
+
+// Guards against frames of another attempt that reach a caller.
+func TestCrossedFramesAreDropped(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		s, _, _ := mustConnect(t, Services{Exec: func(_ context.Context, _ Hello, a *AgentStream, req *ExecRequest) {
+			_ = a.writer.write(FrameData, a.tag+1, 1, []byte("foreign"))
+			_ = a.Data(1, []byte("own"))
+		}})
+		before := CrossedFrames.Load()
+		x, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		defer x.Close()
+		f, err := x.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(f.Payload), qt.Equals, "own")
+		qt.Assert(t, CrossedFrames.Load()-before, qt.Equals, int64(1))
+		_, err = x.Next()
+		qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	})
+}
+
+// Guards against requests and answers over the size limits.
+func TestBoundedSizes(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		var ran atomic.Int64
+		s, _, _ := mustConnect(t, Services{Exec: func(_ context.Context, _ Hello, a *AgentStream, req *ExecRequest) {
+			body, err := a.ReadBody(req.BodyBytes)
+			if err == nil {
+				ran.Add(int64(len(body)))
+			}
+			err = a.Data(0, make([]byte, MaxFrameBytes+1))
+			_ = a.Data(0, fmt.Appendf(nil, "%v", err))
+		}})
+		_, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, make([]byte, MaxBodyBytes+1))
+		qt.Assert(t, err, qt.ErrorIs, ErrSendIncomplete)
+		headers := []Header{{Name: "x", Value: string(make([]byte, MaxFrameBytes))}}
+		_, err = s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7()), Headers: headers}, nil)
+		qt.Assert(t, err, qt.ErrorIs, ErrSendIncomplete)
+		x, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, make([]byte, MaxBodyBytes))
+		qt.Assert(t, err, qt.IsNil)
+		defer x.Close()
+		f, err := x.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(f.Payload), qt.Equals, ErrFrameTooLarge.Error())
+		qt.Assert(t, ran.Load(), qt.Equals, int64(MaxBodyBytes))
+		qt.Assert(t, s.Err(), qt.IsNil)
+	})
+}
+
+// Guards against a request that counts as sent although its context ended while
+// the peer read none of it.
+func TestBlockedSendEndsWithContext(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		s, _, _ := mustConnect(t, Services{Exec: func(ctx context.Context, _ Hello, _ *AgentStream, _ *ExecRequest) { <-ctx.Done() }})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := s.Exec(ctx, &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, make([]byte, MaxBodyBytes))
+		qt.Assert(t, err, qt.ErrorIs, ErrSendIncomplete)
+		qt.Assert(t, s.Err(), qt.IsNil)
+	})
+}
+
+// Echo is a service for calls.
+type Echo struct{ gate chan struct{} }
+
+func (Echo) Same(args *ResolveArgs, reply *ResolveArgs) error { *reply = *args; return nil }
+func (e Echo) Slow(_ *Empty, _ *Empty) error                  { <-e.gate; return nil }
+func (Echo) Fail(_ *Empty, _ *Empty) error                    { return errors.New("no") }
+func (Echo) Huge(_ *Empty, reply *AckBillsArgs) error {
+	reply.Attempts = make([]uuid.UUID, MaxRPCBytes/16)
+	return nil
+}
+
+// Guards against calls and streams that disturb each other on one session.
+func TestConcurrentCallsAndExec(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		gate := make(chan struct{})
+		server := rpc.NewServer()
+		c.Assert(server.Register(Echo{gate}), qt.IsNil)
+		s, _, _ := mustConnect(t, Services{
+			RPC: func(Hello) *rpc.Server { return server },
+			Exec: func(_ context.Context, _ Hello, a *AgentStream, req *ExecRequest) {
+				for range 50 {
+					_ = a.Data(1, req.Attempt[:])
+				}
+				_ = a.Finish(&Done{Attempt: req.Attempt})
+			},
+		})
+		var group sync.WaitGroup
+		for range 16 {
+			group.Go(func() {
+				id := uuid.Must(uuid.NewV7())
+				var reply ResolveArgs
+				c.Check(s.Call(t.Context(), "Echo.Same", &ResolveArgs{Attempt: id}, &reply), qt.IsNil)
+				c.Check(reply.Attempt, qt.Equals, id)
+			})
+			group.Go(func() {
+				id := uuid.Must(uuid.NewV7())
+				x, err := s.Exec(t.Context(), &ExecRequest{Attempt: id}, nil)
+				c.Check(err, qt.IsNil)
+				defer x.Close()
+				for range 50 {
+					f, err := x.Next()
+					c.Check(err, qt.IsNil)
+					c.Check([16]byte(f.Payload), qt.Equals, [16]byte(id))
+				}
+			})
+		}
+		group.Wait()
+		c.Assert(s.Call(t.Context(), "Echo.Fail", &Empty{}, &Empty{}), qt.ErrorIs, ErrCall)
+		c.Assert(s.Call(t.Context(), "Echo.Huge", &Empty{}, &AckBillsArgs{}), qt.ErrorIs, ErrCall)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		c.Assert(s.Call(ctx, "Echo.Slow", &Empty{}, &Empty{}), qt.ErrorIs, context.DeadlineExceeded)
+		close(gate)
+		var reply ResolveArgs
+		c.Assert(s.Call(t.Context(), "Echo.Same", &ResolveArgs{Fence: true}, &reply), qt.IsNil)
+		c.Assert(reply.Fence, qt.IsTrue)
+	})
+}
+
+// Guards against many dials to one address at once, and against a pool that
+// gives out dead sessions or does not come back to a kept address.
+func TestPool(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := wiretest.NewNetwork()
+		network.Listen("s1", func(conn net.Conn) {
+			_, _ = Accept(conn, Options{Hello: hello(RoleAgent, "s1"), Secret: testSecret}, Services{})
+		})
+		var dials atomic.Int64
+		pool := NewPoolWith(func(ctx context.Context, address string) (*Session, error) {
+			dials.Add(1)
+			time.Sleep(10 * time.Millisecond)
+			conn, err := network.Dial(address)
+			if err != nil {
+				return nil, err
+			}
+			return Connect(ctx, conn, Options{Hello: hello(RoleRouter, "r1"), Secret: testSecret}, Services{})
+		})
+		defer pool.Close()
+		var group sync.WaitGroup
+		for range 20 {
+			group.Go(func() {
+				_, err := pool.Get(t.Context(), "s1")
+				c.Check(err, qt.IsNil)
+			})
+		}
+		group.Wait()
+		c.Assert(dials.Load(), qt.Equals, int64(1))
+		pool.Keep([]string{"s1"})
+		network.Cut("s1")
+		time.Sleep(2 * time.Second)
+		s, open := pool.Open("s1")
+		c.Assert(open, qt.IsTrue)
+		c.Assert(s.Err(), qt.IsNil)
+		c.Assert(dials.Load(), qt.Equals, int64(2))
+		time.Sleep(3 * IdleTimeout)
+		kept, open := pool.Open("s1")
+		c.Assert(open, qt.IsTrue)
+		c.Assert(kept, qt.Equals, s)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		defer cancel()
+		_, err := pool.Get(ctx, "unknown")
+		c.Assert(err, qt.ErrorIs, context.DeadlineExceeded)
+	})
+}
