--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -52,7 +52,7 @@
 		a.ledger.raiseEpoch(args.Account, args.ClaimEpoch)
 	}
 	reply.Agent = a.opts.Identity
-	reply.StartedUnixMilli = a.started.UnixMilli()
+	reply.UptimeMillis = time.Since(a.started).Milliseconds()
 	a.ledger.collect(args.Account, reply)
 	a.collectAttemptsLocked(args, reply)
 	return nil
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -1,5 +1,3 @@
-// Package dispatch takes one request from its reservation to its settlement:
-// the claim of its idempotency key, its attempts, and its retries.
 package dispatch
 
 import (
@@ -12,76 +10,69 @@
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
-// Call is one request of a caller, checked and with its bound.
+// Call is one request of a caller, checked and ready to run.
 type Call struct {
 	Request   uuid.UUID
 	Workspace string
 	Budget    budget.ID
 	Kind      wire.Kind
 	// Target is the model or the plain service.
-	Target  string
-	Method  string
-	Path    string
-	Headers []wire.Header
-	Body    []byte
-	// Stream asks for the answer as server-sent events.
-	Stream bool
-	// Idempotent is set if the call may be repeated after it may have run.
-	Idempotent bool
-	// Reserve is the most that the call may cost. PromptBound is the part of it
-	// for the prompt, and MaxOutput the part for the answer.
-	Reserve     budget.Tokens
-	PromptBound budget.Tokens
-	MaxOutput   budget.Tokens
+	Target       string
+	Method, Path string
+	Headers      []wire.Header
+	Body         []byte
+	// Stream asks for the answer as server-sent events. Idempotent is set if the
+	// call may be repeated after it may have run.
+	Stream, Idempotent bool
+	// Reserve is the most that the call may cost; PromptBound is the part of it
+	// set aside for the prompt.
+	Reserve, PromptBound, MaxOutput budget.Tokens
 	// PromptTokens is the estimated length of the prompt.
 	PromptTokens int32
-	// Priority is higher for more urgent work.
-	Priority int8
+	Priority     int8
+	// Deadline is when the caller stops waiting, zero for none.
 	Deadline time.Time
 	// Key is the idempotency key, empty if the caller sent none.
 	Key string
 	// RequestHash is the SHA-256 of what the caller asked for.
 	RequestHash [32]byte
-	// HomeRegion is the workspace's home region, where its keys are claimed.
-	HomeRegion string
-	// Fingerprint is a hash of what makes two requests the same to an engine.
+	// HomeRegion is the home region of the workspace.
+	HomeRegion  string
 	Fingerprint uint64
 	// Prefixes holds the hashes of the prompt's leading blocks, shortest first.
 	Prefixes    []uint64
 	TraceParent string
 }
 
-// Sink receives the answer to a call. An error of either method means that the
-// caller can receive no more of it.
+// Sink receives the answer while it arrives. An error means that the caller is
+// gone.
 type Sink interface {
-	// Head passes on the status and header of the server's answer.
+	// Head is called at most once, before any Data.
 	Head(status int, headers []wire.Header) error
-	// Data passes on part of the body and the number of tokens in it. The sink
-	// does not keep p.
+	// Data passes on a part of the answer that holds the given number of tokens.
+	// p is valid during the call only.
 	Data(tokens uint32, p []byte) error
 }
 
 // Outcome is what became of a call.
 type Outcome struct {
 	Verdict verdict.Verdict
-	// Err is nil if the whole answer was passed to the sink.
+	// Err is nil if the sink got the whole answer.
 	Err *verdict.Error
-	// Bill is nil if the call cost nothing.
+	// Bill is what the request cost, nil if nothing.
 	Bill *budget.Bill
 	Hops []Hop
 }
 
-// Hop is one attempt of a call.
+// Hop is one attempt of a call, for explanations.
 type Hop struct {
-	Server string
-	Region string
+	Server, Region string
 	// Reason says why the server was chosen.
-	Reason   string
-	Attempt  uuid.UUID
-	Reserved budget.Tokens
-	Billed   budget.Tokens
-	Verdict  verdict.Verdict
-	// Code is empty if the attempt delivered the whole answer.
+	Reason           string
+	Attempt          uuid.UUID
+	Reserved, Billed budget.Tokens
+	Verdict          verdict.Verdict
+	// Code is empty if the attempt delivered its whole answer.
 	Code    verdict.Code
 	Elapsed time.Duration
 }
