--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,81 @@
+// Package daemon assembles the parts of a router and of an agent into a running
+// process.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/syncer"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// wireOptions returns how this process introduces itself to its peers.
+func wireOptions(s settings.Settings, boot budget.Boot) (wire.Options, error) {
+	o := wire.Options{Hello: wire.Hello{
+		Role: s.Role, Name: s.Name, Region: s.Region, Domain: s.Domain, Boot: boot,
+	}}
+	if s.Inner.SecretFile != "" {
+		secret, err := os.ReadFile(s.Inner.SecretFile)
+		if err != nil {
+			return o, fmt.Errorf("shared secret: %w", err)
+		}
+		o.Secret = []byte(strings.TrimSpace(string(secret)))
+		if len(o.Secret) < minSecretBytes {
+			return o, fmt.Errorf("shared secret: %s holds fewer than %d bytes", s.Inner.SecretFile, minSecretBytes)
+		}
+	}
+	var err error
+	o.TLS, err = innerTLS(s.Inner.TLS)
+	return o, err
+}
+
+// minSecretBytes keeps the shared secret from being guessed.
+const minSecretBytes = 16
+
+// innerTLS returns the configuration of both sides of the inner protocol, nil
+// without certificates.
+func innerTLS(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	files, err := newCertFiles(t)
+	if err != nil {
+		return nil, err
+	}
+	return files.mutual()
+}
+
+// caller calls methods of other processes over the pool's sessions.
+type caller struct{ pool *wire.Pool }
+
+// Call implements holder.Caller.
+func (c caller) Call(ctx context.Context, address, method string, args, reply any) (budget.Incarnation, error) {
+	session, err := c.pool.Get(ctx, address)
+	if err != nil {
+		return budget.Incarnation{}, err
+	}
+	who := budget.Incarnation{Name: session.Peer.Name, Boot: session.Peer.Boot}
+	return who, session.Call(ctx, method, args, reply)
+}
+
+// dial implements syncer.Options.Dial.
+func (c caller) dial(ctx context.Context, address string) (syncer.Caller, error) {
+	return c.pool.Get(ctx, address)
+}
+
+// newBoot returns the identity of this run.
+func newBoot() (budget.Boot, error) {
+	boot, err := uuid.NewV7()
+	if err != nil {
+		return budget.Boot{}, fmt.Errorf("boot id: %w", err)
+	}
+	return boot, nil
+}
--- /dev/null
+++ b/internal/daemon/router.go
@@ -0,0 +1,280 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/monsoonworks/monsoonworks/internal/admission"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/dispatch"
+	"github.com/monsoonworks/monsoonworks/internal/gateway"
+	"github.com/monsoonworks/monsoonworks/internal/holder"
+	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/route"
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/suspect"
+	"github.com/monsoonworks/monsoonworks/internal/syncer"
+	"github.com/monsoonworks/monsoonworks/internal/wallet"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// Router is a router process.
+type Router struct {
+	s        settings.Settings
+	log      *slog.Logger
+	registry metrics.Registry
+	store    store.Store
+	boot     budget.Boot
+	self     hosts.Host
+	options  wire.Options
+	rpc      rpcServers
+	inner    *innerListener
+	public   net.Listener
+	pool     *wire.Pool
+	sync     *syncer.Syncer
+	ready    atomic.Bool
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	parts *routerParts // nil until the configuration is known
+}
+
+// routerParts are the parts that need the deployment's configuration.
+type routerParts struct {
+	wallet   *wallet.Wallet
+	manager  *holder.Manager
+	gateway  *gateway.Gateway
+	route    *route.Router
+	suspects *suspect.Registry
+}
+
+// NewRouter makes a router and opens its listeners. Run starts it.
+func NewRouter(s settings.Settings, st store.Store, registry metrics.Registry, log *slog.Logger) (*Router, error) {
+	boot, err := newBoot()
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{s: s, log: log, registry: registry, store: st, boot: boot}
+	r.self = hosts.Host{Name: s.Name, Address: s.Inner.Advertise, Role: s.Role, Region: s.Region, Domain: s.Domain}
+	if r.options, err = wireOptions(s, boot); err != nil {
+		return nil, err
+	}
+	r.pool = wire.NewPool(r.options, wire.Services{})
+	peers := caller{r.pool}
+	r.sync, err = syncer.New(syncer.Options{
+		Self: r.self, Store: st, HostsURL: s.HostList.URL, Dial: peers.dial, Logger: log, Metrics: registry,
+	})
+	if err != nil {
+		return nil, err
+	}
+	early := newRPCServer(map[string]any{"Sync": r.sync.Receiver()})
+	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: early, wire.RoleAgent: early})
+	r.inner, err = listenInner(s.Inner.Listen, r.options, wire.Services{RPC: r.rpc.For}, log)
+	if err != nil {
+		return nil, err
+	}
+	if r.public, err = r.listenPublic(); err != nil {
+		r.inner.close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func (r *Router) listenPublic() (net.Listener, error) {
+	l, err := net.Listen("tcp", r.s.Public.Listen)
+	if err != nil || !r.s.Public.TLS.Enabled() {
+		return l, err
+	}
+	files, err := newCertFiles(r.s.Public.TLS)
+	if err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return tlsListener(l, files.server()), nil
+}
+
+// Run runs the router until ctx ends. It returns the first error of a part.
+func (r *Router) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return runUntil(ctx, r.inner.serve, r.inner.close) })
+	group.Go(func() error { return ignoreCanceled(ctx, r.sync.Run(ctx)) })
+	group.Go(func() error { return r.runParts(ctx) })
+	err := group.Wait()
+	r.pool.Close()
+	return err
+}
+
+// runParts waits for the configuration and then runs what depends on it.
+func (r *Router) runParts(ctx context.Context) error {
+	if !r.awaitDeployment(ctx) {
+		return r.public.Close()
+	}
+	p := r.assemble()
+	r.mu.Lock()
+	r.parts = p
+	r.mu.Unlock()
+	// Sessions accepted until now offer only Sync; peers open new ones.
+	r.inner.closeSessions()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.manager.Run(ctx) })
+	group.Go(func() error { return p.wallet.Run(ctx) })
+	group.Go(func() error { p.route.Run(ctx); return nil })
+	group.Go(func() error { r.followPolicy(ctx, p); return nil })
+	group.Go(func() error {
+		stop := func() { _ = r.public.Close() }
+		return ignoreClosed(runUntil(ctx, func() error { return p.gateway.Serve(r.public) }, stop))
+	})
+	r.ready.Store(true)
+	r.log.Info("router ready", "public", r.public.Addr().String(), "inner", r.s.Inner.Advertise)
+	err := group.Wait()
+	p.suspects.Close()
+	return err
+}
+
+// awaitDeployment waits until the configuration names the deployment.
+func (r *Router) awaitDeployment(ctx context.Context) bool {
+	for {
+		changed := r.sync.Changed()
+		if r.sync.Config().Deployment.Shards > 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
+
+// assemble makes the parts and offers their services to peers.
+func (r *Router) assemble() *routerParts {
+	self := budget.Incarnation{Name: r.s.Name, Boot: r.boot}
+	f := fleet{view: r.sync, self: r.self}
+	peers := caller{r.pool}
+	shards := r.sync.Config().Deployment.Shards
+	client := holder.NewClient(f, peers)
+	p := &routerParts{}
+	p.wallet = wallet.New(wallet.Options{
+		Self: self, Region: r.s.Region, Shards: shards, Policy: f.policy(),
+		Transport: client, Registry: r.registry, Log: r.log,
+	})
+	p.manager = holder.NewManager(holder.Options{
+		Self: self, Address: r.s.Inner.Advertise, Region: r.s.Region, Shards: shards, Policy: f.policy(),
+		Store: r.store, Directory: f, Caller: peers, Registry: r.registry, Log: r.log,
+	})
+	p.route = route.New(route.Options{
+		Region: r.s.Region, Fleet: f, Sessions: r.pool, LinkBytesPerSecond: f.linkShare, Metrics: r.registry,
+	})
+	p.suspects = suspect.New(suspect.Options{
+		Name: r.s.Name, Region: r.s.Region, Peers: suspectPeers{f, peers}, Metrics: r.registry,
+	})
+	control := admission.New(admission.Options{
+		Limits: f.limits, Routers: f.liveRouters, MaxConcurrent: r.s.Public.MaxConcurrent, Metrics: r.registry,
+	})
+	dispatcher := dispatch.New(dispatch.Options{
+		Self: self, Region: r.s.Region, Shards: func() uint32 { return shards },
+		Wallet: p.wallet, Chooser: p.route, Sessions: r.pool, Servers: f,
+		Claims: claims{client, shards}, Retries: control.Retries(), Suspects: p.suspects, Metrics: r.registry,
+	})
+	p.gateway = gateway.New(gateway.Options{
+		Directory: gatewayDirectory{f, r.ready.Load}, Wallet: p.wallet, Dispatcher: dispatcher,
+		Admission: control, Logger: r.log, Metrics: r.registry, MaxConns: r.s.Public.MaxConnections,
+	})
+	r.offer(p)
+	return p
+}
+
+// offer makes the parts' services available to peers by their role.
+func (r *Router) offer(p *routerParts) {
+	routers := newRPCServer(map[string]any{
+		"Sync": r.sync.Receiver(), "Holder": p.manager, "Wallet": p.wallet, "Suspect": p.suspects.Service(),
+	})
+	agents := newRPCServer(map[string]any{"Sync": r.sync.Receiver(), "Suspect": p.suspects.Service()})
+	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: routers, wire.RoleAgent: agents})
+}
+
+// followPolicy passes changes of the policy weight on.
+func (r *Router) followPolicy(ctx context.Context, p *routerParts) {
+	f := fleet{view: r.sync, self: r.self}
+	for {
+		changed := r.sync.Changed()
+		p.wallet.SetPolicy(f.policy())
+		p.manager.SetPolicy(f.policy())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// InProgress returns the number of callers' requests that have not ended.
+func (r *Router) InProgress() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.parts == nil {
+		return 0
+	}
+	return r.parts.gateway.InProgress()
+}
+
+// Drain prepares a planned stop: new requests are refused, those in progress
+// end, bills become durable, and accounts are handed over. Run's context is
+// ended afterwards. It fails with the error of ctx if something is left.
+func (r *Router) Drain(ctx context.Context) error {
+	r.draining.Store(true)
+	r.ready.Store(false)
+	r.mu.Lock()
+	p := r.parts
+	r.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	if err := p.gateway.Drain(ctx); err != nil {
+		return err
+	}
+	if err := p.gateway.Shutdown(ctx); err != nil {
+		return fmt.Errorf("callers' connections: %w", err)
+	}
+	if err := p.wallet.Drain(ctx); err != nil {
+		return fmt.Errorf("bills: %w", err)
+	}
+	return p.manager.Drain(ctx)
+}
+
+// PublicAddress returns the address that callers use.
+func (r *Router) PublicAddress() string { return r.public.Addr().String() }
+
+// Ready reports whether the router can get callers.
+func (r *Router) Ready() bool { return r.ready.Load() }
+
+// Status returns how current the router's view is.
+func (r *Router) Status() syncer.Status { return r.sync.Status() }
+
+func ignoreCanceled(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return nil
+	}
+	return err
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return err
+}
+
+// drainPoll is the time between looks at a part that has no signal.
+const drainPoll = 100 * time.Millisecond
--- /dev/null
+++ b/internal/daemon/view.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/admission"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/gateway"
+	"github.com/monsoonworks/monsoonworks/internal/holder"
+	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/syncer"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// view is what the syncer offers to the other parts.
+type view interface {
+	Config() *config.Snapshot
+	Hosts() *hosts.List
+	Holder(budget.Account) (config.HolderRecord, bool)
+	Changed() <-chan struct{}
+	Status() syncer.Status
+}
+
+// fleet adapts the view to the needs of the router's parts. self is added to the
+// routers, because the host list lags.
+type fleet struct {
+	view
+	self hosts.Host
+}
+
+// Routers implements holder.Directory.
+func (f fleet) Routers(region string) []holder.Peer {
+	var out []holder.Peer
+	for _, h := range f.routerHosts() {
+		if h.Region == region {
+			out = append(out, holder.Peer{Name: h.Name, Address: h.Address, Leaving: h.Leaving})
+		}
+	}
+	return out
+}
+
+// routerHosts returns the routers of all regions, this one included.
+func (f fleet) routerHosts() []hosts.Host {
+	listed := f.Hosts().Role(wire.RoleRouter)
+	if _, ok := f.Hosts().Get(f.self.Name); ok {
+		return listed
+	}
+	return append([]hosts.Host{f.self}, listed...)
+}
+
+// liveRouters counts the routers that are not leaving.
+func (f fleet) liveRouters() int {
+	n := 0
+	for _, h := range f.routerHosts() {
+		if !h.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+// Agents implements holder.Directory.
+func (f fleet) Agents() []holder.Peer {
+	var out []holder.Peer
+	for _, h := range f.Hosts().Role(wire.RoleAgent) {
+		out = append(out, holder.Peer{Name: h.Name, Address: h.Address, Leaving: h.Leaving})
+	}
+	return out
+}
+
+// Servers implements route.Fleet.
+func (f fleet) Servers(kind wire.Kind, target string) []hosts.Host {
+	want := config.PoolModel
+	if kind == wire.KindService {
+		want = config.PoolService
+	}
+	var out []hosts.Host
+	for _, pool := range f.Config().Pools {
+		if pool.Kind != want {
+			continue
+		}
+		for _, served := range pool.Targets {
+			if served == target {
+				out = append(out, f.Hosts().Pool(pool.Name)...)
+			}
+		}
+	}
+	return out
+}
+
+// All implements route.Fleet.
+func (f fleet) All() []hosts.Host { return f.Hosts().Role(wire.RoleAgent) }
+
+// Server implements dispatch.Servers.
+func (f fleet) Server(name string) (hosts.Host, bool) { return f.Hosts().Get(name) }
+
+// linkShare is this router's share of the link to other regions, in bytes/s.
+func (f fleet) linkShare() int64 {
+	routers := 0
+	for _, h := range f.routerHosts() {
+		if h.Region == f.self.Region && !h.Leaving {
+			routers++
+		}
+	}
+	return f.Config().Deployment.LinkBytesPerSecond / int64(max(1, routers))
+}
+
+// limits returns a workspace's limits for admission.
+func (f fleet) limits(workspace string) admission.Limits {
+	w := f.Config().Workspaces[workspace]
+	return admission.Limits{Concurrent: w.MaxConcurrent, PerSecond: w.RequestsPerSecond}
+}
+
+func (f fleet) policy() budget.Policy {
+	return budget.Policy{RefusalWeight: f.Config().Deployment.RefusalWeight}
+}
+
+// gatewayDirectory adapts the configuration to the gateway.
+type gatewayDirectory struct {
+	fleet
+	ready func() bool
+}
+
+// Workspace implements gateway.Directory.
+func (d gatewayDirectory) Workspace(name string) (gateway.Workspace, bool) {
+	w, ok := d.Config().Workspaces[name]
+	return gateway.Workspace{
+		Name: w.Name, HomeRegion: w.HomeRegion, Models: w.Models, Services: w.Services, Priority: w.Priority,
+	}, ok
+}
+
+// Model implements gateway.Directory.
+func (d gatewayDirectory) Model(name string) (gateway.Model, bool) {
+	m, ok := d.Config().Models[name]
+	return gateway.Model{
+		Name: m.Name, PromptTokensPerByte: m.PromptTokensPerByte,
+		MessageOverheadTokens: m.MessageOverheadTokens, MaxOutputTokens: m.MaxOutputTokens,
+		Deadline: time.Duration(m.DeadlineMillis) * time.Millisecond,
+	}, ok
+}
+
+// Service implements gateway.Directory.
+func (d gatewayDirectory) Service(name string) (gateway.Service, bool) {
+	s, ok := d.Config().Services[name]
+	return gateway.Service{
+		Name: s.Name, Price: s.PriceTokens, IdempotentMethods: s.IdempotentMethods,
+		Deadline: time.Duration(s.DeadlineMillis) * time.Millisecond, MaxBodyBytes: s.MaxBodyBytes,
+	}, ok
+}
+
+// Ready implements gateway.Directory.
+func (d gatewayDirectory) Ready() bool { return d.ready() }
+
+// claims adapts the holders' client to the dispatcher.
+type claims struct {
+	client *holder.Client
+	shards uint32
+}
+
+// Claim implements dispatch.Claims.
+func (c claims) Claim(ctx context.Context, home string, id budget.ID, args *wire.ClaimArgs) (wire.ClaimReply, error) {
+	args.Account = budget.Account{Shard: budget.ShardOf(id, c.shards), Region: home}
+	return c.client.Claim(ctx, args)
+}
+
+// suspectPeers adapts the fleet to the registry of suspects.
+type suspectPeers struct {
+	fleet
+	caller caller
+}
+
+// Routers implements suspect.Peers.
+func (p suspectPeers) Routers() []hosts.Host {
+	var out []hosts.Host
+	for _, h := range p.routerHosts() {
+		if !h.Leaving {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Call implements suspect.Peers.
+func (p suspectPeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	_, err := p.caller.Call(ctx, address, method, args, reply)
+	return err
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -29,6 +29,8 @@
 
 // attempt is one dispatch to an agent. It is used by one goroutine.
 type attempt struct {
+	// accountEpoch is the epoch of the holder that confirmed the slot's lot.
+	accountEpoch uint64
 	r       *run
 	id      uuid.UUID
 	server  hosts.Host
@@ -105,6 +107,7 @@
 		Path: c.Path, Headers: c.Headers, Stream: c.Stream, Priority: c.Priority,
 		Claim: a.claim, Fingerprint: c.Fingerprint, Prefixes: c.Prefixes,
 		TraceParent: c.TraceParent, Idempotent: c.Idempotent, MaxOutput: c.MaxOutput,
+		AccountEpoch: a.accountEpoch,
 	}
 	if !c.Deadline.IsZero() {
 		req.DeadlineMillis = max(1, time.Until(c.Deadline).Milliseconds())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -198,10 +198,12 @@
 
 // tryServer takes an attempt from the choice of its server to its end.
 func (r *run) tryServer(a *attempt) result {
-	if err := r.d.Wallet.Ready(r.ctx, a.slot.hold, a.session.Established); err != nil {
+	epoch, err := r.d.Wallet.Ready(r.ctx, a.slot.hold, a.session.Established)
+	if err != nil {
 		a.slot.release()
 		return failedRetry(r.errorOf(err, verdict.CodeBudgetUnreached), retryUnsent)
 	}
+	a.accountEpoch = epoch
 	if r.call.Key != "" {
 		earlier, fail := r.claim(a)
 		if fail != nil {
--- a/internal/holder/balance.go
+++ b/internal/holder/balance.go
@@ -64,7 +64,7 @@
 		return
 	}
 	args := wire.LotsArgs{Account: key, Holder: m.o.Self}
-	for _, peer := range m.o.Directory.Routers() {
+	for _, peer := range m.o.Directory.Routers(m.o.Region) {
 		for router := range routers {
 			if router.Name != peer.Name {
 				continue
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -106,7 +106,7 @@
 	if ok && !record.Released {
 		out = append(out, record.Address)
 	}
-	for _, peer := range candidates(key, c.directory.Routers()) {
+	for _, peer := range candidates(key, c.directory.Routers(key.Region)) {
 		if len(out) >= maxAsked {
 			break
 		}
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -54,9 +54,8 @@
 
 // Directory tells who takes part. It is safe for concurrent use.
 type Directory interface {
-	// Routers lists the live and leaving routers of the own region, including
-	// this one.
-	Routers() []Peer
+	// Routers lists the live and leaving routers of a region, including this one.
+	Routers(region string) []Peer
 	// Agents lists the agents of all regions, live and leaving.
 	Agents() []Peer
 	// Holder returns the last known holder of an account.
--- a/internal/holder/recover.go
+++ b/internal/holder/recover.go
@@ -20,7 +20,7 @@
 // recover does one round of what dead processes make necessary: fences of dead
 // routers and the reconciliation after a takeover.
 func (m *Manager) recover(ctx context.Context, a *account) {
-	listed := m.o.Directory.Routers()
+	listed := m.o.Directory.Routers(m.o.Region)
 	m.beginFences(ctx, a, listed)
 	a.mu.Lock()
 	fences, reconciling := a.core.Fences(), a.core.Reconciling() || a.claims.rebuilding
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -38,7 +38,7 @@
 	if time.Since(since) > wantedFor {
 		return
 	}
-	routers := m.o.Directory.Routers()
+	routers := m.o.Directory.Routers(m.o.Region)
 	if !m.mayTakeOver(ctx, a.key, routers) {
 		m.again(a.key, since)
 		return
