--- /dev/null
+++ b/internal/hosts/client.go
@@ -0,0 +1,161 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+const (
+	// fetchTimeout bounds one request for the host list.
+	fetchTimeout = 5 * time.Second
+	// maxListBytes bounds the host list. At the target size it has about 2,500
+	// hosts of 200 bytes.
+	maxListBytes = 8 << 20
+	// maxNameBytes bounds each name in the list.
+	maxNameBytes = 253
+)
+
+// stateLeaving is the value of the label "state" of a host that is about to stop.
+const stateLeaving = "leaving"
+
+// ErrList means that the host list could not be read.
+var ErrList = errors.New("host list")
+
+// Client reads the host list over HTTP. It is not safe for concurrent use.
+type Client struct {
+	// Invalid is the number of groups of the last list that name no valid host.
+	Invalid int
+
+	url  string
+	http *http.Client
+	etag string
+	last *List
+}
+
+// NewClient returns a client of the list at a URL; transport may be nil.
+func NewClient(url string, transport http.RoundTripper) *Client {
+	return &Client{url: url, http: &http.Client{Transport: transport, Timeout: fetchTimeout}, last: NewList(nil)}
+}
+
+// Fetch returns the current list. If it has not changed since the last call it
+// returns the same *List again.
+func (c *Client) Fetch(ctx context.Context) (*List, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrList, err)
+	}
+	if c.etag != "" {
+		req.Header.Set("If-None-Match", c.etag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		// A connection that went silent must not be used again.
+		c.http.CloseIdleConnections()
+		return nil, fmt.Errorf("%w: %w", ErrList, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return c.last, nil
+	case http.StatusOK:
+	default:
+		return nil, fmt.Errorf("%w: status %d", ErrList, resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes+1))
+	if err == nil && len(body) > maxListBytes {
+		err = fmt.Errorf("over %d bytes", maxListBytes)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrList, err)
+	}
+	hosts, invalid, err := Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	c.Invalid = invalid
+	c.etag = resp.Header.Get("ETag")
+	if list := NewList(hosts); list.Version != c.last.Version {
+		c.last = list
+	}
+	return c.last, nil
+}
+
+// group is one element of the HTTP service discovery format.
+type group struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// Decode reads a host list in the HTTP service discovery format. Unknown labels
+// are ignored. Each group names one host, so it has one target. Groups that name
+// no valid host are left out and counted: one bad line must not hide the changes
+// of all other hosts. A list in which no group is valid is an error.
+func Decode(data []byte) (hosts []Host, invalid int, err error) {
+	var groups []group
+	if err := json.Unmarshal(data, &groups); err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrList, err)
+	}
+	hosts = make([]Host, 0, len(groups))
+	for i, g := range groups {
+		h, fault := g.host()
+		if fault != nil {
+			invalid++
+			err = fmt.Errorf("%w: group %d: %w", ErrList, i, fault)
+			continue
+		}
+		hosts = append(hosts, h)
+	}
+	if len(hosts) == 0 && err != nil {
+		return nil, invalid, err
+	}
+	return hosts, invalid, nil
+}
+
+func (g group) host() (Host, error) {
+	if len(g.Targets) != 1 {
+		return Host{}, fmt.Errorf("%d targets, want 1", len(g.Targets))
+	}
+	h := Host{
+		Name: g.Labels["name"], Address: g.Targets[0], Role: wire.Role(g.Labels["role"]),
+		Region: g.Labels["region"], Domain: g.Labels["domain"], Pool: g.Labels["pool"],
+		Leaving: g.Labels["state"] == stateLeaving,
+	}
+	if _, err := netip.ParseAddrPort(h.Address); err != nil {
+		return Host{}, err
+	}
+	if h.Role != wire.RoleRouter && h.Role != wire.RoleAgent {
+		return Host{}, fmt.Errorf("role %q is unknown", h.Role)
+	}
+	for _, label := range []string{"name", "region", "domain"} {
+		if v := g.Labels[label]; v == "" || len(v) > maxNameBytes {
+			return Host{}, fmt.Errorf("label %s is missing or too long", label)
+		}
+	}
+	return h, nil
+}
+
+// Encode writes hosts in the HTTP service discovery format.
+func Encode(hosts []Host) ([]byte, error) {
+	groups := make([]group, len(hosts))
+	for i, h := range hosts {
+		labels := map[string]string{
+			"name": h.Name, "role": string(h.Role), "region": h.Region, "domain": h.Domain, "state": "live",
+		}
+		if h.Pool != "" {
+			labels["pool"] = h.Pool
+		}
+		if h.Leaving {
+			labels["state"] = stateLeaving
+		}
+		groups[i] = group{Targets: []string{h.Address}, Labels: labels}
+	}
+	return json.Marshal(groups)
+}
