Add the distribution of configuration, holder records and host list

Cause: a watch per node would cost the store a call for each of 2,490 nodes. A poll's answer says how long ago the relay was in contact with the store, and is sent early when that changes. Deltas of the host list, a hash of the key set to detect missed deletions, and direct reads of the store as a fallback. SyncPollReply has new optional fields for that.

--- /dev/null
+++ b/internal/syncer/relay.go
@@ -0,0 +1,251 @@
+package syncer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+const (
+	// maxHold bounds how long a poller can make a relay hold a poll.
+	maxHold = 30 * time.Second
+	// maxWaitingPolls bounds the polls that a relay holds; further ones are
+	// answered at once.
+	maxWaitingPolls = 1024
+	// watchCheckInterval is how often a relay checks its watch.
+	watchCheckInterval = time.Second
+	// watchQuiet is how long a watch may be without batches before the relay
+	// checks its contact with the store by a read.
+	watchQuiet = 2 * time.Second
+	// watchRenewal is how long a watch may be without batches before the relay
+	// makes another one.
+	watchRenewal = 10 * time.Second
+	// headTimeout bounds that read.
+	headTimeout = time.Second
+)
+
+// Receiver answers polls. Register it with rpc.Server.RegisterName("Sync", r).
+type Receiver struct{ s *Syncer }
+
+// Receiver returns the receiver for the polls of other nodes. Every router has
+// one, because a host list that lags can name a router as a relay before the
+// router knows.
+func (s *Syncer) Receiver() *Receiver { return &Receiver{s: s} }
+
+// Poll answers with what changed after the poller's revision. Without news it
+// waits for at most args.HoldMillis. It answers early when this node gains or
+// loses contact with the store, so that pollers can look elsewhere.
+func (r *Receiver) Poll(args *wire.SyncPollArgs, reply *wire.SyncPollReply) error {
+	s := r.s
+	s.counters.servedPolls.Inc(1)
+	hold := time.Duration(min(max(args.HoldMillis, 0), maxHold.Milliseconds())) * time.Millisecond
+	if s.waiting.Add(1) > maxWaitingPolls {
+		hold = 0
+	}
+	defer s.waiting.Add(-1)
+	deadline := time.NewTimer(hold)
+	defer deadline.Stop()
+	contact := s.contactState()
+	for expired := hold == 0; ; {
+		wake, done, err := s.tryAnswer(args, reply, contact, expired)
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-wake:
+		case <-deadline.C:
+			expired = true
+		}
+	}
+}
+
+// tryAnswer fills in the answer if there is news or the poll must end; otherwise
+// it returns a channel to wait for.
+func (s *Syncer) tryAnswer(args *wire.SyncPollArgs, reply *wire.SyncPollReply, contact, expired bool) (<-chan struct{}, bool, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	news := args.After < 0 || s.table.newer(args.After, args.Interests) ||
+		(s.Hosts().Len() > 0 && s.Hosts().Version != args.HostsVersion) || s.inContact != contact
+	if !news && !expired && !s.stopped {
+		return s.wake, false, nil
+	}
+	reply.ContactMillis = -1
+	if !s.storeContact.IsZero() {
+		reply.ContactMillis = time.Since(s.storeContact).Milliseconds()
+	}
+	s.answerHosts(args.HostsVersion, reply)
+	return nil, true, s.answerEntries(args, reply)
+}
+
+func (s *Syncer) answerEntries(args *wire.SyncPollArgs, reply *wire.SyncPollReply) error {
+	var err error
+	if args.After < 0 {
+		s.counters.fullAnswers.Inc(1)
+		reply.Full, reply.Revision = true, s.table.revision
+		reply.Entries, err = s.table.full(args.Interests)
+		return err
+	}
+	reply.Entries, reply.Revision = s.table.since(args.After, args.Interests, maxDeltaBytes)
+	reply.More = reply.Revision < s.table.revision
+	if args.After < s.table.horizon {
+		reply.Horizon = s.table.horizon
+		if !reply.More {
+			reply.KeySet = s.table.keySet(args.Interests)
+		}
+	}
+	return nil
+}
+
+func (s *Syncer) contactState() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.inContact
+}
+
+// runContact notices when contact with the store is gained or lost.
+func (s *Syncer) runContact(ctx context.Context) error {
+	for pause(ctx, contactLimit/10) {
+		s.mu.Lock()
+		s.updateContact()
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// updateContact tells held polls about a change of contact. The caller holds mu.
+func (s *Syncer) updateContact() {
+	now := !s.storeContact.IsZero() && time.Since(s.storeContact) <= contactLimit
+	if now == s.inContact {
+		return
+	}
+	s.inContact = now
+	if s.plan.relay {
+		s.log.Info("contact with the store changed", "contact", now)
+	}
+	s.wakePolls()
+}
+
+// touchStore records contact with the store. The caller holds mu.
+func (s *Syncer) touchStore() {
+	s.storeContact = time.Now()
+	s.updateContact()
+}
+
+// readStore reads the whole prefix.
+func (s *Syncer) readStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	s.counters.storeReads.Inc(1)
+	read, err := s.opts.Store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	entries := make([]wire.SyncEntry, len(read.Entries))
+	for i, e := range read.Entries {
+		entries[i] = wire.SyncEntry{Key: e.Key, Value: e.Value, ModRevision: e.ModRevision}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish(s.table.applyFull(entries, read.Revision))
+	s.lastList, s.wantFull = time.Now(), false
+	s.touchStore()
+	return nil
+}
+
+func (s *Syncer) isRelay() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.plan.relay
+}
+
+// runRelay watches the store while this node is a relay.
+func (s *Syncer) runRelay(ctx context.Context) error {
+	reread := false
+	for pause(ctx, 100*time.Millisecond+rand.N(200*time.Millisecond)) {
+		if !s.isRelay() {
+			continue
+		}
+		if reread || s.Status().Revision == 0 {
+			if s.readStore(ctx) != nil {
+				pause(ctx, jitter(time.Second))
+				continue
+			}
+			reread = false
+		}
+		err := s.watch(ctx)
+		reread = errors.Is(err, store.ErrCompacted)
+		if err != nil && ctx.Err() == nil {
+			s.log.Warn("watch ended", "error", err)
+			pause(ctx, jitter(time.Second))
+		}
+	}
+	return nil
+}
+
+var errWatchLost = errors.New("watch is silent")
+
+// watch runs one watch until it ends, seems lost, or this node is no relay any
+// more.
+func (s *Syncer) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	batches, err := s.opts.Store.Watch(ctx, Prefix, s.Status().Revision)
+	if err != nil {
+		return err
+	}
+	check := time.NewTicker(watchCheckInterval)
+	defer check.Stop()
+	last := time.Now()
+	for {
+		select {
+		case batch, open := <-batches:
+			if !open || batch.Err != nil {
+				return batch.Err
+			}
+			last = time.Now()
+			s.takeBatch(batch)
+		case <-check.C:
+			if !s.isRelay() {
+				return nil
+			}
+			if quiet := time.Since(last); quiet > watchRenewal || (quiet > watchQuiet && s.missedHead(ctx)) {
+				return errWatchLost
+			}
+		}
+	}
+}
+
+func (s *Syncer) takeBatch(batch store.WatchBatch) {
+	entries := make([]wire.SyncEntry, len(batch.Events))
+	for i, e := range batch.Events {
+		entries[i] = wire.SyncEntry{Key: e.Key, Value: e.Value, ModRevision: e.ModRevision, Deleted: e.Deleted}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.publish(s.table.applyDelta(entries, batch.Revision))
+	s.touchStore()
+}
+
+// missedHead reads the configuration's head and reports whether the watch has
+// failed to deliver it. A successful read is contact with the store.
+func (s *Syncer) missedHead(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, headTimeout)
+	defer cancel()
+	s.counters.storeReads.Inc(1)
+	head, err := s.opts.Store.Get(ctx, config.HeadKey)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if head.ModRevision > s.table.revision {
+		return true
+	}
+	s.touchStore()
+	return false
+}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -357,11 +357,14 @@
 
 // SyncPollArgs asks a relay for what changed after a revision.
 type SyncPollArgs struct {
-	// After is the highest store revision that the poller has.
+	// After is the highest store revision that the poller has. -1 asks for a Full
+	// answer.
 	After int64 `cbor:"1,keyasint"`
 	// HostsVersion is the version of the host list that the poller has.
 	HostsVersion uint64 `cbor:"2,keyasint"`
-	// Interests limits the answer to these key prefixes.
+	// Interests limits the answer to these key prefixes. An interest with a "*"
+	// selects the keys that begin with what precedes it and end with what
+	// follows it.
 	Interests []string `cbor:"3,keyasint,omitempty"`
 	// HoldMillis is how long the relay may wait for a change.
 	HoldMillis int64 `cbor:"4,keyasint"`
@@ -413,10 +416,27 @@
 	// ContactMillis is how long ago the relay was in contact with the store, -1
 	// if never.
 	ContactMillis int64 `cbor:"3,keyasint"`
-	// Hosts is the whole host list if it differs from the poller's version.
+	// Hosts is the whole host list if it differs from the poller's version, or
+	// with HostsDelta what is new or changed against the poller's version.
 	Hosts        []SyncHost `cbor:"4,keyasint,omitempty"`
 	HostsVersion uint64     `cbor:"5,keyasint"`
 	// Full means that Entries holds everything and replaces what the poller has
 	// under its interests, as far as its revisions are higher.
 	Full bool `cbor:"6,keyasint,omitempty"`
+	// HostsDelta means that Hosts and HostsGone are relative to the poller's
+	// version of the host list.
+	HostsDelta bool     `cbor:"7,keyasint,omitempty"`
+	HostsGone  []string `cbor:"8,keyasint,omitempty"`
+	// HostsAgeMillis is how long ago the relay read the host list or heard of
+	// its version from a relay that did, -1 if never.
+	HostsAgeMillis int64 `cbor:"9,keyasint,omitempty"`
+	// Horizon is a revision up to which deletions may be missing in Entries.
+	Horizon int64 `cbor:"10,keyasint,omitempty"`
+	// KeySet is the exclusive or of the xxhash64 of each existing key under the
+	// poller's interests at Revision. It is set if the poller's revision is below
+	// Horizon and the answer is complete up to the relay's revision.
+	KeySet uint64 `cbor:"11,keyasint,omitempty"`
+	// More means that the answer was cut at its size limit; the poller asks again
+	// at once.
+	More bool `cbor:"12,keyasint,omitempty"`
 }
