--- /dev/null
+++ b/devel/standin/pipenet/pipenet.go
@@ -0,0 +1,94 @@
+// Package pipenet is a network in memory, for runs of clients and servers in
+// virtual time, where real sockets cannot be used.
+package pipenet
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// ErrRefused is returned by Dial when nothing listens.
+var ErrRefused = errors.New("connection refused")
+
+// Listener is a net.Listener whose connections are made by Dial. It can be cut
+// off and reopened. It is safe for concurrent use.
+type Listener struct {
+	mu      sync.Mutex
+	pending chan net.Conn
+	conns   []net.Conn
+	refuse  bool
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Listen returns an open listener.
+func Listen() *Listener {
+	return &Listener{pending: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.pending:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return addr{} }
+
+// Dial opens a connection. Its arguments but ctx are ignored.
+func (l *Listener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, server := net.Pipe()
+	l.mu.Lock()
+	refuse := l.refuse
+	if !refuse {
+		l.conns = append(l.conns, client)
+	}
+	l.mu.Unlock()
+	if refuse {
+		return nil, ErrRefused
+	}
+	select {
+	case l.pending <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// Cut closes all open connections. With refuse set, new ones are refused until
+// Reopen.
+func (l *Listener) Cut(refuse bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = refuse
+	for _, conn := range l.conns {
+		_ = conn.Close()
+	}
+	l.conns = nil
+}
+
+// Reopen accepts connections again.
+func (l *Listener) Reopen() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refuse = false
+}
+
+type addr struct{}
+
+func (addr) Network() string { return "pipe" }
+func (addr) String() string  { return "pipe" }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -179,6 +179,10 @@
 	for fruitless := 0; !r.finalError(ctx, err); {
 		c.resumes.Inc(1)
 		before := r.lastID
+		if r.unnumbered {
+			err = fmt.Errorf("%w: %w", ErrGone, err)
+			break
+		}
 		err = r.resume(ctx)
 		if fruitless++; r.lastID > before {
 			fruitless = 0
@@ -202,6 +206,9 @@
 	lastID  int64
 	answer  string
 	crossed int
+	// unnumbered is set after a chunk without an id: the stream cannot be
+	// resumed without repeating it.
+	unnumbered bool
 	// rejected is set if onEvent returned an error.
 	rejected bool
 }
@@ -309,6 +316,9 @@
 			stall.reset()
 			continue // repeated by the engine after a resume
 		}
+		if raw.id > r.lastID+1 {
+			return fmt.Errorf("%w: chunks before %d are missing", errBroken, raw.id)
+		}
 		if err := r.deliver(raw, stall); err != nil {
 			return err
 		}
@@ -326,7 +336,9 @@
 	if event.Answer != "" {
 		r.answer = event.Answer
 	}
-	if raw.id != 0 {
+	if raw.id == 0 {
+		r.unnumbered = true
+	} else {
 		r.lastID = raw.id
 	}
 	// The time that the receiver takes is not the engine's.
