Test the callers' HTTP side

Bad input, malformed HTTP, streams that break, plain services, disconnection, drain, and the published client library, over loopback. A service's answer that is shorter or longer than its announced length now counts as broken before anything is sent; before, a caller's client could silently repeat the request.

--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"net/textproto"
+	"strconv"
 
 	"github.com/monsoonworks/monsoonworks/internal/dispatch"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
@@ -24,6 +26,7 @@
 	errBadStatus     = errors.New("the answer's status is out of range")
 	errAnswerTooLong = errors.New("the answer is too long to be kept")
 	errEventTooLong  = errors.New("an event of the stream is too long")
+	errTooMuch       = errors.New("more data than the head announced")
 	errAfterDone     = errors.New("data after the end of the stream")
 )
 
@@ -152,7 +155,10 @@
 	method  string
 	headers []wire.Header
 	code    int
-	err     error
+	// announced and sent are bytes of the body.
+	announced int64
+	sent      int64
+	err       error
 }
 
 // Head implements dispatch.Sink. As for a model, it sends nothing yet.
@@ -163,7 +169,7 @@
 	case !finalStatus(status):
 		s.err = errBadStatus
 	default:
-		s.code, s.headers = status, headers
+		s.code, s.headers, s.announced = status, headers, announcedLength(headers)
 	}
 	return s.err
 }
@@ -174,8 +180,12 @@
 	case s.err != nil:
 	case s.code == 0:
 		s.err = errNoHead
-	case len(p) > 0 && s.hasBody():
+	case len(p) == 0 || !s.hasBody():
+	case s.announced >= 0 && s.sent+int64(len(p)) > s.announced:
+		s.err = errTooMuch
+	default:
 		s.begin()
+		s.sent += int64(len(p))
 		s.err = s.write(p, true)
 	}
 	return s.err
@@ -186,6 +196,24 @@
 	return s.method != http.MethodHead && s.code != http.StatusNoContent && s.code != http.StatusNotModified
 }
 
+// announcedLength returns the length of the body that the head announces, -1 if
+// it does not.
+func announcedLength(headers []wire.Header) int64 {
+	for _, h := range headers {
+		if textproto.CanonicalMIMEHeaderKey(h.Name) == "Content-Length" && isDecimal(h.Value) {
+			if n, err := strconv.ParseInt(h.Value, 10, 64); err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
+
+// isWhole reports whether as much of the body was sent as the head announced.
+func (s *serviceSink) isWhole() bool {
+	return !s.hasBody() || s.announced < 0 || s.sent == s.announced
+}
+
 // begin sends the head of the answer. Its verdict is known already, because the
 // service has answered.
 func (s *serviceSink) begin() {
@@ -205,7 +233,7 @@
 // so that the caller cannot take it for a whole one.
 func (s *serviceSink) finish(out dispatch.Outcome) *verdict.Error {
 	failure := out.Err
-	if failure == nil && (s.err != nil || s.code == 0) {
+	if failure == nil && (s.err != nil || s.code == 0 || !s.isWhole()) {
 		failure = errIncomplete(out.Verdict).WithCause(s.err)
 	}
 	switch {
--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,380 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonworks/monsoonworks/internal/dispatch"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+var streamBody = strings.Replace(chatBody, "{", `{"stream":true,`, 1)
+
+// lastEventError reads the error event at the end of a stream.
+func lastEventError(c *qt.C, stream string) verdict.APIError {
+	c.Helper()
+	at := strings.LastIndex(stream, "event: error\ndata: ")
+	c.Assert(at >= 0, qt.IsTrue, qt.Commentf("%q", stream))
+	c.Assert(at == 0 || strings.HasSuffix(stream[:at], "\n\n"), qt.IsTrue)
+	var event struct{ Error verdict.APIError }
+	c.Assert(json.Unmarshal([]byte(stream[at+len("event: error\ndata: "):]), &event), qt.IsNil)
+	return event.Error
+}
+
+// Guards against a stream that is changed on its way, lacks its verdict, or
+// ends like a whole one although it broke.
+func TestStreams(t *testing.T) {
+	half := chunk(2)[:20]
+	tests := []struct {
+		name    string
+		frames  [][]byte
+		out     dispatch.Outcome
+		want    string // whole events that the caller receives
+		verdict verdict.Verdict
+		code    verdict.Code // of the error event, empty for none
+	}{
+		{"whole", [][]byte{chunk(1), chunk(2), done}, ranOutcome, string(chunk(1)) + string(chunk(2)) + string(done), verdict.Ran, ""},
+		{"one frame", [][]byte{append(chunk(1), done...)}, ranOutcome, string(chunk(1)) + string(done), verdict.Ran, ""},
+		{"end in two frames", [][]byte{chunk(1), done[:9], done[9:]}, ranOutcome, string(chunk(1)) + string(done), verdict.Ran, ""},
+		{"no tokens", [][]byte{done}, ranOutcome, string(done), verdict.Ran, ""},
+		{"CRLF", [][]byte{[]byte("data: {}\r\n\r\ndata:[DONE]\r\n\r\n")}, ranOutcome, "data: {}\r\n\r\ndata:[DONE]\r\n\r\n", verdict.Ran, ""},
+		{"marker within a text", [][]byte{[]byte("data: \"[DONE]\"\n\n"), done}, ranOutcome, "data: \"[DONE]\"\n\n" + string(done), verdict.Ran, ""},
+		{"server lost", [][]byte{chunk(1)}, failed(verdict.Ran, verdict.CodeServerLost, "lost"), string(chunk(1)), verdict.Ran, verdict.CodeServerLost},
+		{"lost within an event", [][]byte{chunk(1), half}, failed(verdict.Ran, verdict.CodeServerLost, "lost"), string(chunk(1)), verdict.Ran, verdict.CodeServerLost},
+		{"failure after the end", [][]byte{chunk(1), done}, failed(verdict.Unknown, verdict.CodeServerError, "x"), string(chunk(1)), verdict.Unknown, verdict.CodeServerError},
+		{"success without the end", [][]byte{chunk(1)}, ranOutcome, string(chunk(1)), verdict.Ran, verdict.CodeServerError},
+		{"data after the end", [][]byte{chunk(1), done, chunk(2)}, ranOutcome, string(chunk(1)), verdict.Ran, verdict.CodeServerError},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, url := serveLoopback(t, testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+				_ = s.Head(500, nil) // replaced: nothing was sent yet
+				_ = s.Head(200, eventStreamHead)
+				for _, frame := range test.frames {
+					_ = s.Data(1, frame)
+				}
+				return test.out
+			}))
+			resp := send(t, "POST", url+pathChat, streamBody)
+			got := readAll(t, resp)
+			c.Assert(resp.StatusCode, qt.Equals, 200)
+			c.Assert(resp.Header.Get(headerVerdict), qt.Equals, "")
+			c.Assert(resp.Trailer.Get(headerVerdict), qt.Equals, test.verdict.String())
+			if test.code == "" {
+				c.Assert(got, qt.Equals, test.want)
+				return
+			}
+			c.Assert(strings.HasPrefix(got, test.want+"event: error\n"), qt.IsTrue, qt.Commentf("%q", got))
+			c.Assert(got, qt.Not(qt.Contains), "[DONE]")
+			e := lastEventError(c, got)
+			c.Assert(e.Code, qt.Equals, test.code)
+			c.Assert(e.Verdict, qt.Equals, test.verdict)
+			c.Assert(e.RequestID, qt.Equals, resp.Header.Get(headerRequestID))
+		})
+	}
+}
+
+// Guards against bytes lost, repeated or reordered by the splitting at events.
+func TestEventStreamKeepsBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		piece := rapid.SampledFrom([]string{"data: {}\n\n", "id: 1\n", "\r\n", "\n", "x", "data: \"[DONE]\"\n\n", "[DONE]"})
+		text := strings.Join(rapid.SliceOf(piece).Draw(t, "text"), "")
+		var s eventStream
+		var got bytes.Buffer
+		for rest := []byte(text); len(rest) > 0; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "n")
+			whole, err := s.take(bytes.Clone(rest[:n]))
+			if err != nil {
+				return // an event with [DONE] was not the last one
+			}
+			got.Write(whole)
+			rest = rest[n:]
+		}
+		if all := got.String() + string(s.end) + string(s.partial); all != text {
+			t.Fatalf("got %q, want %q", all, text)
+		}
+		if cut := got.Len() + len(s.end); lastEventEnd([]byte(text)) != cut {
+			t.Fatalf("whole events of %q end at %d, not %d", text, lastEventEnd([]byte(text)), cut)
+		}
+	})
+}
+
+// Guards against errors before the head, whole answers and refusals that lack
+// their status, verdict or length.
+func TestWholeAnswers(t *testing.T) {
+	c := qt.New(t)
+	var do script
+	_, url := serveLoopback(t, testOptions(do.run))
+	jsonHead := []wire.Header{{Name: "content-type", Value: "application/json"}, {Name: "X-Verdict", Value: "not-run"}, {Name: "X-Bad", Value: "a\r\nX-Evil: 1"}, {Name: "Transfer-Encoding", Value: "gzip"}}
+	do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, jsonHead)
+		_ = s.Data(1, []byte(`{"a":`))
+		_ = s.Data(1, []byte(`1}`))
+		return ranOutcome
+	})
+	resp := send(t, "POST", url+pathChat, chatBody)
+	c.Assert(readAll(t, resp), qt.Equals, `{"a":1}`)
+	c.Assert(resp.ContentLength, qt.Equals, int64(7))
+	c.Assert(resp.Header.Get(headerVerdict), qt.Equals, "ran")
+	c.Assert(resp.Header.Get("X-Evil")+resp.Header.Get("X-Bad"), qt.Equals, "")
+
+	// An engine's own refusal is passed on whole, also for a stream.
+	do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(422, jsonHead)
+		_ = s.Data(0, []byte(`{}`))
+		return dispatch.Outcome{Verdict: verdict.NotRun}
+	})
+	resp = send(t, "POST", url+pathChat, streamBody)
+	c.Assert(readAll(t, resp), qt.Equals, `{}`)
+	c.Assert([]any{resp.StatusCode, resp.Header.Get(headerVerdict)}, qt.DeepEquals, []any{422, "not-run"})
+
+	for _, test := range []struct {
+		out     dispatch.Outcome
+		status  int
+		verdict string
+		retry   string // X-Should-Retry without an idempotency key
+	}{
+		{failed(verdict.NotRun, verdict.CodeKeyReused, "the key was used for another request"), 422, "not-run", ""},
+		{failed(verdict.Unknown, verdict.CodeKeyUnresolved, "x"), 409, "unknown", "false"},
+		{failed(verdict.Unknown, verdict.CodeHomeUnreachable, "x"), 503, "unknown", "false"},
+		{failed(verdict.NotRun, verdict.CodeBudgetExhausted, "x"), 402, "not-run", ""},
+		{dispatch.Outcome{Verdict: verdict.Ran, Err: verdict.New(verdict.NotRun, verdict.CodeNoServer, "x")}, 503, "unknown", "false"},
+		{ranOutcome, 502, "ran", "false"}, // no answer at all
+	} {
+		do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+			if test.out.Err != nil {
+				_ = s.Head(200, eventStreamHead)
+				_ = s.Data(1, []byte("data: half"))
+				test.out.Err.RetryAfter = 1100 * time.Millisecond
+			}
+			return test.out
+		})
+		for _, body := range []string{chatBody, streamBody} {
+			resp := send(t, "POST", url+pathChat, body)
+			var p verdict.Problem
+			c.Assert(json.NewDecoder(resp.Body).Decode(&p), qt.IsNil)
+			c.Assert([]any{resp.StatusCode, resp.Header.Get(headerVerdict), p.Verdict.String(), resp.Header.Get(headerShouldRetry)},
+				qt.DeepEquals, []any{test.status, test.verdict, test.verdict, test.retry})
+			c.Assert(resp.Header.Get("Retry-After") == "2", qt.Equals, test.out.Err != nil)
+		}
+	}
+	resp = send(t, "POST", url+pathChat, chatBody, "Idempotency-Key: k")
+	c.Assert(resp.Header.Get(headerShouldRetry), qt.Equals, "")
+	do.set(func(context.Context, *dispatch.Call, dispatch.Sink) dispatch.Outcome { panic("secret") })
+	resp = send(t, "POST", url+pathChat, chatBody)
+	c.Assert([]any{resp.StatusCode, resp.Header.Get(headerVerdict)}, qt.DeepEquals, []any{500, "unknown"})
+	c.Assert(readAll(t, resp), qt.Not(qt.Contains), "secret")
+}
+
+// Guards against a service's request or answer that is changed, and against a
+// broken answer that looks complete.
+func TestServices(t *testing.T) {
+	c := qt.New(t)
+	var got *dispatch.Call
+	var do script
+	_, url := serveLoopback(t, testOptions(do.run))
+	answer := func(out dispatch.Outcome, headers []wire.Header, parts ...string) {
+		do.set(func(_ context.Context, call *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+			got = call
+			_ = s.Head(207, headers)
+			for _, part := range parts {
+				_ = s.Data(0, []byte(part))
+			}
+			return out
+		})
+	}
+	answer(ranOutcome, []wire.Header{{Name: "X-A", Value: "1"}, {Name: "x-a", Value: "2"}, {Name: "Connection", Value: "X-Hop"}, {Name: "X-Hop", Value: "1"}}, "or", "der")
+	resp := send(t, "PROPFIND", url+"/svc/orders//a%2Fb/c;d?x=%0d&y", "body", "X-One: 1", "X-One: 2", "Connection: X-Drop", "X-Drop: 1",
+		"X-Monsoon-Lot: 1", "X-Verdict: ran", "Te: trailers", "X-Request-Id: forged", "Proxy-Authorization: x")
+	c.Assert(readAll(t, resp), qt.Equals, "order")
+	c.Assert([]any{resp.StatusCode, resp.Header["X-A"], resp.Header["X-Hop"], resp.Header.Get(headerVerdict), resp.Header["Content-Type"]},
+		qt.DeepEquals, []any{207, []string{"1", "2"}, []string(nil), "ran", []string(nil)})
+	c.Assert([]any{got.Method, got.Path, string(got.Body), got.Idempotent, int(got.Reserve)}, qt.DeepEquals, []any{"PROPFIND", "//a%2Fb/c;d?x=%0d&y", "body", false, 40})
+	names := map[string]int{}
+	for _, h := range got.Headers {
+		names[h.Name]++
+	}
+	delete(names, "User-Agent")
+	delete(names, "Accept-Encoding")
+	c.Assert(names, qt.DeepEquals, map[string]int{"X-One": 2})
+
+	length := []wire.Header{{Name: "Content-Length", Value: "5"}}
+	answer(ranOutcome, length)
+	c.Assert(send(t, "HEAD", url+"/svc/orders", "").ContentLength, qt.Equals, int64(5))
+	c.Assert([]any{got.Path, got.Idempotent}, qt.DeepEquals, []any{"/", true})
+	answer(ranOutcome, nil)
+	c.Assert(send(t, "GET", url+"/svc/orders/", "").ContentLength, qt.Equals, int64(0))
+
+	lost := failed(verdict.Ran, verdict.CodeServerLost, "lost")
+	for _, broken := range []func(){
+		func() { answer(lost, nil, "ord") },
+		func() { answer(lost, length, "ord") },
+		func() { answer(ranOutcome, length, "ord") },
+		func() { answer(ranOutcome, length, "ord", "ers") },
+	} {
+		broken()
+		_, err := io.ReadAll(send(t, "GET", url+"/svc/orders/x", "").Body)
+		c.Assert(err, qt.ErrorMatches, ".*EOF")
+	}
+	answer(lost, length)
+	c.Assert(send(t, "GET", url+"/svc/orders/x", "").StatusCode, qt.Equals, 502)
+	answer(ranOutcome, length)
+	c.Assert(send(t, "GET", url+"/svc/orders/x", "").StatusCode, qt.Equals, 502)
+}
+
+// Guards against an engine slot that stays in use after its caller is gone.
+func TestCallerDisconnects(t *testing.T) {
+	c := qt.New(t)
+	ended := make(chan error, 1)
+	_, url := serveLoopback(t, testOptions(func(ctx context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, eventStreamHead)
+		_ = s.Data(1, chunk(1))
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return failed(verdict.Ran, verdict.CodeCanceled, "canceled")
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := sendContext(ctx, "POST", url+pathChat, streamBody)
+	c.Assert(err, qt.IsNil)
+	_, err = bufio.NewReader(resp.Body).ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	cancel()
+	c.Assert(<-ended, qt.Equals, context.Canceled)
+}
+
+// Guards against a drain that cuts off a stream, or against callers that are
+// still accepted or not told that their request did not run.
+func TestDrain(t *testing.T) {
+	c := qt.New(t)
+	resume := make(chan struct{})
+	g, url := serveLoopback(t, testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, eventStreamHead)
+		_ = s.Data(1, chunk(1))
+		<-resume
+		_ = s.Data(0, done)
+		return ranOutcome
+	}))
+	c.Assert(send(t, "GET", url+pathReady, "").StatusCode, qt.Equals, 200)
+	stream := send(t, "POST", url+pathChat, streamBody)
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	c.Assert(g.Drain(canceled), qt.ErrorMatches, "1 calls in progress: .*")
+	refused := send(t, "POST", url+pathChat, chatBody)
+	c.Assert(refused.Close, qt.IsTrue)
+	c.Assert(refused.Header.Get("Retry-After"), qt.Equals, "1")
+	assertRefused(c, refused, 503, verdict.CodeDraining)
+	assertRefused(c, send(t, "GET", url+pathReady, ""), 503, verdict.CodeDraining)
+	c.Assert(send(t, "GET", url+pathAlive, "").StatusCode, qt.Equals, 200)
+	c.Assert(g.InProgress(), qt.Equals, 1)
+	close(resume)
+	c.Assert(readAll(t, stream), qt.Equals, string(chunk(1))+string(done))
+	c.Assert(g.Drain(t.Context()), qt.IsNil)
+	c.Assert(g.Shutdown(t.Context()), qt.IsNil)
+}
+
+// Guards against a slow sender that holds a body's memory for ever.
+func TestSlowBody(t *testing.T) {
+	c := qt.New(t)
+	opts := testOptions(streamTokens(1))
+	opts.BodyTimeout = 20 * time.Millisecond
+	g, url := serveLoopback(t, opts)
+	slow, stop := io.Pipe()
+	defer func() { _ = stop.Close() }()
+	req, err := http.NewRequestWithContext(t.Context(), "POST", url+pathChat, slow)
+	c.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	assertRefused(c, resp, 400, verdict.CodeBadRequest)
+	c.Assert(g.bodies.TryAcquire(g.opts.BodyMemory), qt.IsTrue)
+	full := send(t, "POST", url+pathChat, chatBody)
+	assertRefused(c, full, 503, verdict.CodeOverloaded)
+}
+
+// Guards against a backstop deadline that comes before the dispatcher's own.
+func TestContextOutlivesDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		g := New(testOptions(func(ctx context.Context, call *dispatch.Call, _ dispatch.Sink) dispatch.Outcome {
+			<-ctx.Done()
+			qt.Check(t, call.Deadline.Sub(started), qt.Equals, 100*time.Millisecond)
+			return failed(verdict.Unknown, verdict.CodeDeadline, "late")
+		}))
+		req, _ := http.NewRequest("POST", pathChat, strings.NewReader(chatBody))
+		req.Header.Set("Authorization", "Bearer "+testKey)
+		req.Header.Set(headerTimeout, "100")
+		w := &discardWriter{header: http.Header{}}
+		g.ServeHTTP(w, req)
+		qt.Assert(t, time.Since(started), qt.Equals, 100*time.Millisecond+deadlineGrace)
+		qt.Assert(t, w.status, qt.Equals, 504)
+	})
+}
+
+// Guards against answers that the published client library does not understand.
+func TestPublishedClient(t *testing.T) {
+	c := qt.New(t)
+	var do script
+	_, url := serveLoopback(t, testOptions(do.run))
+	client := openai.NewClient(option.WithBaseURL(url+"/v1"), option.WithAPIKey(testKey), option.WithMaxRetries(0))
+	params := openai.ChatCompletionNewParams{
+		Model: "small", MaxCompletionTokens: openai.Int(16),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("be brief"), openai.UserMessage("hello")},
+	}
+	do.set(streamTokens(3))
+	stream := client.Chat.Completions.NewStreaming(t.Context(), params)
+	text := ""
+	for stream.Next() {
+		text += stream.Current().Choices[0].Delta.Content
+	}
+	c.Assert(stream.Err(), qt.IsNil)
+	c.Assert(text, qt.Equals, "t0 t1 t2 ")
+
+	do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, eventStreamHead)
+		_ = s.Data(1, chunk(1))
+		return failed(verdict.Ran, verdict.CodeServerLost, "the server was lost")
+	})
+	stream = client.Chat.Completions.NewStreaming(t.Context(), params)
+	c.Assert(stream.Next(), qt.IsTrue)
+	c.Assert(stream.Next(), qt.IsFalse)
+	c.Assert(stream.Err(), qt.ErrorMatches, "(?s).*the server was lost.*")
+
+	do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, []wire.Header{{Name: "Content-Type", Value: "application/json"}})
+		_ = s.Data(1, []byte(`{"id":"c","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"hi"}}]}`))
+		return ranOutcome
+	})
+	whole, err := client.Chat.Completions.New(t.Context(), params)
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole.Choices[0].Message.Content, qt.Equals, "hi")
+	models, err := client.Models.List(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(models.Data[0].ID, qt.Equals, "small")
+	_, err = client.Models.Get(t.Context(), "small")
+	c.Assert(err, qt.IsNil)
+
+	do.set(func(context.Context, *dispatch.Call, dispatch.Sink) dispatch.Outcome {
+		return failed(verdict.NotRun, verdict.CodeBudgetExhausted, "the budget is spent")
+	})
+	_, err = client.Chat.Completions.New(t.Context(), params)
+	var apiErr *openai.Error
+	c.Assert(err, qt.ErrorAs, &apiErr)
+	c.Assert([]any{apiErr.StatusCode, apiErr.Message, apiErr.Code, apiErr.Type}, qt.DeepEquals,
+		[]any{402, "the budget is spent", "budget-exhausted", "insufficient_quota"})
+}
