--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -116,7 +116,7 @@
 func (a *attempt) resolveEarlier() (*wire.ResolveReply, *verdict.Error) {
 	window := time.Now().Add(ReattachWindow)
 	for time.Now().Before(window) && a.r.ctx.Err() == nil {
-		reply, _, known := a.resolve(true)
+		reply, _, known := a.resolve(window, true)
 		if known {
 			return nil, unresolved("the server that the idempotency key was sent to has restarted")
 		}
--- a/internal/dispatch/reattach.go
+++ b/internal/dispatch/reattach.go
@@ -28,14 +28,14 @@
 	pause.Reset()
 	for time.Now().Before(window) && !a.abandoned() {
 		frames := a.frames
-		if end, known := a.reattach(); known {
+		if end, known := a.reattach(window); known {
 			return end
 		}
 		if a.frames > frames && a.context().Err() == nil {
 			window = time.Now().Add(ReattachWindow)
 			pause.Reset()
 		}
-		time.Sleep(pause.NextBackOff())
+		time.Sleep(min(pause.NextBackOff(), time.Until(window)))
 	}
 	a.lost = true
 	return endUnreachable
@@ -47,9 +47,9 @@
 
 // reattach asks the agent about the attempt and continues its answer. It reports
 // false if the agent could not be reached or the connection was lost again.
-func (a *attempt) reattach() (end, bool) {
+func (a *attempt) reattach(window time.Time) (end, bool) {
 	// Only an attempt that never began may be fenced off.
-	reply, end, known := a.resolve(!a.accepted && !a.received())
+	reply, end, known := a.resolve(window, !a.accepted && !a.received())
 	if known || reply == nil {
 		return end, known
 	}
@@ -100,8 +100,10 @@
 
 // resolve asks the agent once what became of the attempt, and sets the session
 // to continue on. The reply is nil if it could not be asked.
-func (a *attempt) resolve(fence bool) (reply *wire.ResolveReply, _ end, known bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
+func (a *attempt) resolve(window time.Time, fence bool) (reply *wire.ResolveReply, _ end, known bool) {
+	limit, stop := context.WithDeadline(context.Background(), window)
+	defer stop()
+	ctx, cancel := context.WithTimeout(limit, resolveTimeout)
 	defer cancel()
 	session, err := a.r.d.Sessions.Get(ctx, a.server.Address)
 	if err != nil {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -91,6 +91,7 @@
 	// use: steady new requests would otherwise hide that none is answered.
 	asked   atomic.Int64
 	pinging atomic.Bool
+	pinged  atomic.Int64 // time of the last ping, in nanoseconds since conn.start
 
 	rpcMu     sync.Mutex
 	rpcClient *rpc.Client
@@ -304,7 +305,8 @@
 func (s *Session) checkAlive() {
 	now := s.conn.since()
 	lastRead, asked := time.Duration(s.conn.lastRead.Load()), time.Duration(s.asked.Load())
-	if s.inUse.Load() == 0 && asked <= lastRead {
+	pinged := time.Duration(s.pinged.Load())
+	if s.inUse.Load() == 0 && asked <= lastRead && pinged <= lastRead {
 		if now-max(time.Duration(s.lastUse.Load()), lastRead) > IdleTimeout {
 			s.fail(ErrNotReady)
 		}
@@ -315,6 +317,7 @@
 	case silence > SilenceTimeout:
 		s.fail(ErrSilent)
 	case silence > HeartbeatInterval/2 && s.pinging.CompareAndSwap(false, true):
+		s.pinged.Store(int64(now))
 		go func() {
 			defer s.pinging.Store(false)
 			_, _ = s.mux.Ping()
--- a/internal/wire/session_test.go
+++ b/internal/wire/session_test.go
@@ -256,6 +256,29 @@
 	})
 }
 
+// Guards against a reader that waits for a peer after its own side has closed
+// the stream, and against a silent session that counts as idle since.
+func TestCloseEndsRead(t *testing.T) {
+	wiretest.Bubble(t, func(t *testing.T) {
+		s, _, conn := mustConnect(t, Services{Exec: func(ctx context.Context, _ Hello, a *AgentStream, req *ExecRequest) {
+			_ = a.Accept(&Accepted{Attempt: req.Attempt})
+			<-ctx.Done()
+		}})
+		x, err := s.Exec(t.Context(), &ExecRequest{Attempt: uuid.Must(uuid.NewV7())}, nil)
+		qt.Assert(t, err, qt.IsNil)
+		_, err = x.Next()
+		qt.Assert(t, err, qt.IsNil)
+		conn.Freeze()
+		time.AfterFunc(2*time.Second, x.Close)
+		start := time.Now()
+		_, err = x.Next()
+		qt.Assert(t, err, qt.Not(qt.IsNil))
+		qt.Assert(t, time.Since(start), qt.Equals, 2*time.Second)
+		<-s.Done()
+		qt.Assert(t, time.Since(start) <= 3500*time.Millisecond, qt.IsTrue)
+	})
+}
+
 // Guards against a request that counts as sent although its context ended while
 // the peer read none of it.
 func TestBlockedSendEndsWithContext(t *testing.T) {
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/yamux"
 )
@@ -150,7 +151,14 @@
 // Close ends the stream. A Next in progress fails.
 func (x *RouterStream) Close() {
 	x.release()
-	_ = x.stream.Close()
+	closeStream(x.stream)
+}
+
+// closeStream closes both directions; yamux alone closes the sending one and
+// leaves a reader waiting for the peer.
+func closeStream(stream *yamux.Stream) {
+	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	_ = stream.Close()
 }
 
 // AgentStream is an agent's end of an exec stream. Its Send methods are called
@@ -166,7 +174,7 @@
 // serveStream handles a stream that the peer opened. A malformed stream closes
 // the session: the peer is broken or hostile.
 func (s *Session) serveStream(stream *yamux.Stream) {
-	defer func() { _ = stream.Close() }()
+	defer closeStream(stream)
 	var kind [1]byte
 	if _, err := io.ReadFull(stream, kind[:]); err != nil {
 		return
@@ -296,4 +304,4 @@
 }
 
 // Close ends the stream; a WaitCancel in progress returns.
-func (a *AgentStream) Close() { _ = a.stream.Close() }
+func (a *AgentStream) Close() { closeStream(a.stream) }
