--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -59,6 +59,9 @@
 	if r := a.checkLocked(req, now); r != nil {
 		return nil, nil, r
 	}
+	if r := a.ledger.admit(req); r != nil {
+		return nil, nil, r
+	}
 	if prepared != nil {
 		body = nil // the engine gets the prepared one
 	}
@@ -82,10 +85,6 @@
 	switch {
 	case a.draining:
 		return refuse(verdict.CodeDraining, "the server is leaving")
-	case a.ledger.fenced(req.Lot.Account, req.Router):
-		return refuse(verdict.CodeFenced, "the router's lots were settled")
-	case req.Claim != nil && req.Claim.Epoch < a.ledger.epochs[req.Claim.Account]:
-		return refuse(verdict.CodeFenced, "the claim is of an earlier epoch")
 	case a.ledger.entombed(req.Attempt, now):
 		return refuse(verdict.CodeFenced, "the attempt was given up")
 	case a.attempts[req.Attempt] != nil:
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -160,7 +160,7 @@
 		est: newEstimator(), index: newPrefixIndex(), metrics: newCounters(opts.Metrics),
 		log:      opts.Logger.With("server", opts.Server, "pool", opts.Pool),
 		attempts: make(map[uuid.UUID]*attempt), queue: newFairQueue(),
-		running: make(map[*attempt]struct{}), ledger: newLedger(), memory: &memory{},
+		running: make(map[*attempt]struct{}), ledger: newLedger(opts.Identity), memory: &memory{},
 		changed: make(chan struct{}),
 	}
 	a.SetTargets(opts.Targets)
@@ -179,6 +179,18 @@
 	a.targets = set
 }
 
+// Confirm gives the agent the epochs of the holder records, as read after it
+// started. Until then it refuses all attempts, because it has forgotten which
+// holders were replaced.
+func (a *Agent) Confirm(epochs map[budget.Account]uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ledger.book.Confirmed() {
+		a.log.Info("epochs of the accounts known", "accounts", len(epochs))
+	}
+	a.ledger.book.Confirm(epochs)
+}
+
 // Services returns what the agent offers on its sessions. Calls are open to
 // routers and operators' tools.
 func (a *Agent) Services() wire.Services {
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -164,9 +164,11 @@
 	at.done, at.state, at.finishedAt = done, stateFinished, time.Now()
 	at.body, at.prepared = nil, nil
 	at.req = slimRequest(at.req)
-	if bill != nil {
-		a.ledger.addBill(*bill, at.req.Router)
-		a.metrics.billedTokens.Inc(int64(bill.Amount))
+	if bill == nil {
+		bill = &budget.Bill{}
+	}
+	if kept := a.ledger.book.Finish(at.id, *bill); kept != nil {
+		a.metrics.billedTokens.Inc(int64(kept.Amount))
 	}
 	for _, timer := range []*time.Timer{at.deadline, at.grace} {
 		if timer != nil {
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -37,8 +37,6 @@
 			left.Running = append(left.Running, id)
 		}
 	}
-	for _, entry := range a.ledger.bills {
-		left.Bills = append(left.Bills, entry.bill)
-	}
+	_, left.Bills = a.ledger.book.Len()
 	return left, a.changed
 }
--- a/internal/agent/ledger.go
+++ b/internal/agent/ledger.go
@@ -1,140 +1,92 @@
 package agent
 
 import (
+	"errors"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
-// Retention of what an agent must remember to refuse late messages.
 const (
-	// fenceRetention is how long a router incarnation stays fenced. A session
-	// that existed when the fence was set cannot live that long without use,
-	// and a newer session needs a lot that the holder does not renew.
-	fenceRetention = 24 * time.Hour
 	// tombstoneRetention is how long an attempt that must not run is listed.
 	// After it, every attempt that is as old is refused.
 	tombstoneRetention = time.Hour
-	// maxFences and maxTombstones bound the agent's memory.
-	maxFences     = 1 << 16
+	// maxTombstones bounds the memory of tombstones.
 	maxTombstones = 1 << 16
 )
 
-type fenceKey struct {
-	account budget.Account
-	router  budget.Incarnation
-}
-
-type billEntry struct {
-	bill   budget.Bill
-	router budget.Incarnation
-}
-
 type tombstone struct {
 	attempt uuid.UUID
 	at      time.Time
 }
 
-// ledger holds what outlives a request: bills, fences, claim epochs and
-// tombstones. It is guarded by the agent's lock and never reads a clock.
+// ledger holds what outlives a request: the book with its reservations, bills
+// and fences, and the tombstones. It is guarded by the agent's lock and never
+// reads a clock.
 type ledger struct {
-	bills  map[uuid.UUID]billEntry
-	fences map[fenceKey]time.Time
-	epochs map[budget.Account]uint64
+	book *budget.Book
 
 	tombstones map[uuid.UUID]struct{}
 	// tombstoneOrder lists the tombstones, oldest first.
 	tombstoneOrder []tombstone
 	// floor is the highest time of an attempt whose tombstone was dropped.
 	floor time.Time
-	// droppedEarly counts fences and tombstones that were dropped for lack of
-	// memory.
+	// droppedEarly counts tombstones that were dropped for lack of memory.
 	droppedEarly int64
 }
 
-func newLedger() *ledger {
-	return &ledger{
-		bills:      make(map[uuid.UUID]billEntry),
-		fences:     make(map[fenceKey]time.Time),
-		epochs:     make(map[budget.Account]uint64),
-		tombstones: make(map[uuid.UUID]struct{}),
-	}
+func newLedger(self budget.Incarnation) *ledger {
+	return &ledger{book: budget.NewBook(self), tombstones: make(map[uuid.UUID]struct{})}
 }
 
-// attemptTime returns the time that an attempt id carries, not later than now,
-// so that an id with a wrong clock cannot raise a floor into the future. It is
-// zero for an id that carries none.
-func attemptTime(id uuid.UUID, now time.Time) time.Time {
-	if id.Version() != 7 {
-		return time.Time{}
+// admit registers an attempt as running in the book, or returns why it must not
+// run.
+func (l *ledger) admit(req *wire.ExecRequest) *refusal {
+	a := budget.Admission{
+		Request: req.Request, Attempt: req.Attempt, Router: req.Router, TargetBoot: req.TargetBoot,
+		Budget: req.Budget, Lot: req.Lot, Slot: req.Slot, Reserve: req.Reserve, AccountEpoch: req.AccountEpoch,
 	}
-	millis := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 | int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
-	if t := time.UnixMilli(millis); t.Before(now) {
-		return t
+	if req.Claim != nil {
+		a.ClaimAccount, a.ClaimEpoch = req.Claim.Account, req.Claim.Epoch
+	}
+	err := l.book.Admit(a)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, budget.ErrKnownAttempt):
+		return &refusal{seen: true}
+	case errors.Is(err, budget.ErrUnconfirmed):
+		return refuseFor(verdict.CodeNotReady, err.Error(), downRetryAfter)
+	default:
+		return refuse(verdict.CodeFenced, err.Error())
 	}
-	return now
-}
-
-func (l *ledger) addBill(bill budget.Bill, router budget.Incarnation) {
-	l.bills[bill.Attempt] = billEntry{bill: bill, router: router}
 }
 
 // bill returns a copy of the bill of an attempt, nil if it has none or the bill
 // is durable.
 func (l *ledger) bill(attempt uuid.UUID) *budget.Bill {
-	entry, found := l.bills[attempt]
-	if !found {
-		return nil
+	if bill, ok := l.book.Bill(attempt); ok {
+		return &bill
 	}
-	return &entry.bill
+	return nil
 }
 
-func (l *ledger) acknowledge(attempts []uuid.UUID) {
-	for _, id := range attempts {
-		delete(l.bills, id)
-	}
-}
-
-// collect adds the account's bills to a reply.
-func (l *ledger) collect(account budget.Account, reply *wire.CollectReply) {
-	for _, entry := range l.bills {
-		if entry.bill.Lot.Account == account {
-			reply.Bills = append(reply.Bills, entry.bill)
-			reply.Routers = append(reply.Routers, entry.router.Boot)
-		}
-	}
-}
-
-func (l *ledger) fence(account budget.Account, router budget.Incarnation, now time.Time) {
-	if len(l.fences) >= maxFences {
-		l.dropOldestFence()
+// attemptTime returns the time that an attempt id carries, not later than now,
+// so that an id with a wrong clock cannot raise a floor into the future. It is
+// zero for an id that carries none.
+func attemptTime(id uuid.UUID, now time.Time) time.Time {
+	if id.Version() != 7 {
+		return time.Time{}
 	}
-	l.fences[fenceKey{account, router}] = now
-}
-
-func (l *ledger) dropOldestFence() {
-	var oldest fenceKey
-	var at time.Time
-	for key, t := range l.fences {
-		if at.IsZero() || t.Before(at) {
-			oldest, at = key, t
-		}
+	sec, nsec := id.Time().UnixTime()
+	if t := time.Unix(sec, nsec); t.Before(now) {
+		return t
 	}
-	delete(l.fences, oldest)
-	l.droppedEarly++
-}
-
-func (l *ledger) fenced(account budget.Account, router budget.Incarnation) bool {
-	_, found := l.fences[fenceKey{account, router}]
-	return found
-}
-
-// raiseEpoch makes claims with a lower epoch refused.
-func (l *ledger) raiseEpoch(account budget.Account, epoch uint64) {
-	l.epochs[account] = max(l.epochs[account], epoch)
+	return now
 }
 
 // entomb makes an attempt that was never seen refused from now on.
@@ -176,14 +128,9 @@
 	return n
 }
 
-// sweep drops what is past its retention.
+// sweep drops tombstones that are past their retention.
 func (l *ledger) sweep(now time.Time) {
 	for len(l.tombstoneOrder) > 0 && now.Sub(l.tombstoneOrder[0].at) > tombstoneRetention {
 		l.dropOldestTombstone(now)
 	}
-	for key, at := range l.fences {
-		if now.Sub(at) > fenceRetention {
-			delete(l.fences, key)
-		}
-	}
 }
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -37,43 +37,40 @@
 	return nil
 }
 
-// Collect installs a fence and a claim epoch, and then answers with what the
+// Collect installs fences and epochs, and then answers with what the
 // agent knows about an account. Both are one step: an attempt of a fenced router
 // is either in the answer or refused.
 func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
 	a := r.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
+	book := a.ledger.book
 	if args.FenceRouter != nil {
-		a.ledger.fence(args.Account, *args.FenceRouter, now)
-	}
-	if args.ClaimEpoch > 0 {
-		a.ledger.raiseEpoch(args.Account, args.ClaimEpoch)
+		book.Fence(args.Account, *args.FenceRouter, args.FenceThrough)
 	}
+	book.SetEpoch(args.Account, args.AccountEpoch)
+	book.SetClaimEpoch(args.Account, args.ClaimEpoch)
 	reply.Agent = a.opts.Identity
 	reply.UptimeMillis = time.Since(a.started).Milliseconds()
-	a.ledger.collect(args.Account, reply)
-	a.collectAttemptsLocked(args, reply)
+	reply.Bills, reply.Routers, reply.Running = book.Collect(args.Account)
+	if args.WithClaims {
+		reply.Claims = a.claimsLocked(args.Account)
+	}
 	return nil
 }
 
-// collectAttemptsLocked adds the running reservations and the claims of an
-// account. Callers hold mu.
-func (a *Agent) collectAttemptsLocked(args *wire.CollectArgs, reply *wire.CollectReply) {
+// claimsLocked returns the claims of an account that the agent remembers. Callers
+// hold mu.
+func (a *Agent) claimsLocked(account budget.Account) []wire.ClaimedAttempt {
+	var out []wire.ClaimedAttempt
 	for _, at := range a.attempts {
-		if at.state != stateFinished && at.req.Lot.Account == args.Account {
-			reply.Running = append(reply.Running, wire.RunningAttempt{
-				Lot: at.req.Lot, Slot: at.req.Slot, Budget: at.req.Budget, Router: at.req.Router,
-				Reserve: at.req.Reserve, Attempt: at.id,
-			})
-		}
-		if claim := at.req.Claim; args.WithClaims && claim != nil && claim.Account == args.Account {
-			reply.Claims = append(reply.Claims, wire.ClaimedAttempt{
+		if claim := at.req.Claim; claim != nil && claim.Account == account {
+			out = append(out, wire.ClaimedAttempt{
 				KeyHash: claim.KeyHash, RequestHash: claim.RequestHash, Attempt: at.id,
 			})
 		}
 	}
+	return out
 }
 
 // AckBills deletes bills that are durable, with all copies in ended attempts.
@@ -81,7 +78,7 @@
 	a := r.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.ledger.acknowledge(args.Attempts)
+	a.ledger.book.Ack(args.Attempts)
 	a.noteChangeLocked()
 	return nil
 }
@@ -98,9 +95,9 @@
 	Running []uuid.UUID
 	// Streams is the number of routers that still receive an answer.
 	Streams int
-	// Bills holds the bills that are not known to be durable.
-	Bills []budget.Bill
+	// Bills is the number of bills that are not known to be durable.
+	Bills int
 }
 
 // Empty reports whether nothing is left.
-func (l Left) Empty() bool { return len(l.Running) == 0 && l.Streams == 0 && len(l.Bills) == 0 }
+func (l Left) Empty() bool { return len(l.Running) == 0 && l.Streams == 0 && l.Bills == 0 }
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -77,18 +77,25 @@
 	return err
 }
 
+// followInterval is the time between looks at whether the view is confirmed,
+// which changes without a change of the view.
+const followInterval = time.Second
+
 // follow applies changes of the configuration and of the holder records.
 func (a *Agent) follow(ctx context.Context) {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
 	for {
 		changed := a.sync.Changed()
 		a.agent.SetTargets(a.sync.Config().Pools[a.s.Agent.Pool].Targets)
 		if a.sync.Status().Confirmed {
-			a.agent.Confirm(a.sync.Holders())
+			a.agent.Confirm(a.sync.HolderEpochs())
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-ticker.C:
 		}
 	}
 }
@@ -116,11 +123,11 @@
 // Drain prepares a planned stop: new work is refused, requests in progress end,
 // and their bills become durable.
 func (a *Agent) Drain(ctx context.Context) error {
-	left := a.agent.Drain(ctx)
-	if left.Empty() {
-		return nil
+	left, err := a.agent.Drain(ctx)
+	if err != nil {
+		return fmt.Errorf("%d requests in progress, %d bills not durable: %w", len(left.Running), left.Bills, err)
 	}
-	return fmt.Errorf("%d requests in progress, %d bills not durable: %w", len(left.Running), len(left.Bills), ctx.Err())
+	return nil
 }
 
 // InProgress returns the number of requests that run or wait at this agent.
--- a/internal/daemon/certs.go
+++ b/internal/daemon/certs.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -93,6 +94,9 @@
 	return config, nil
 }
 
+// tlsListener encrypts the connections of a listener.
+func tlsListener(l net.Listener, config *tls.Config) net.Listener { return tls.NewListener(l, config) }
+
 // verifyChain checks that the peer's certificate is signed by one of the roots.
 func verifyChain(state tls.ConnectionState, roots *x509.CertPool) error {
 	if len(state.PeerCertificates) == 0 {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -9,7 +9,6 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
@@ -275,6 +274,3 @@
 	}
 	return err
 }
-
-// drainPoll is the time between looks at a part that has no signal.
-const drainPoll = 100 * time.Millisecond
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -31,14 +31,14 @@
 type attempt struct {
 	// accountEpoch is the epoch of the holder that confirmed the slot's lot.
 	accountEpoch uint64
-	r       *run
-	id      uuid.UUID
-	server  hosts.Host
-	boot    budget.Boot
-	session *wire.Session // of the stream in use
-	reason  string
-	started time.Time
-	claim   *wire.Claim
+	r            *run
+	id           uuid.UUID
+	server       hosts.Host
+	boot         budget.Boot
+	session      *wire.Session // of the stream in use
+	reason       string
+	started      time.Time
+	claim        *wire.Claim
 	// slot is nil for an attempt of an earlier call with the same key.
 	slot *slot
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -115,7 +115,7 @@
 	return budget.Hold{Budget: id, Lot: budget.LotID{Epoch: 1, Num: 1}, Slot: w.nextSlot, Amount: amount}, nil
 }
 
-func (w *world) Ready(context.Context, budget.Hold, time.Time) error { return nil }
+func (w *world) Ready(context.Context, budget.Hold, time.Time) (uint64, error) { return 1, nil }
 
 func (w *world) end(hold budget.Hold) {
 	if !w.openHolds[hold.Slot] {
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -257,6 +257,9 @@
 		a.mu.Unlock()
 		return
 	}
+	if record, ok := m.o.Directory.Holder(a.key); ok {
+		a.core.ObserveEpoch(record.Epoch)
+	}
 	recovery := !now.Before(a.nextRound)
 	if recovery {
 		a.nextRound = now.Add(recoverInterval)
--- a/internal/syncer/view.go
+++ b/internal/syncer/view.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/config"
 	"github.com/monsoonworks/monsoonworks/internal/store"
 )
@@ -62,3 +63,14 @@
 	}
 	s.holders[account] = record
 }
+
+// HolderEpochs returns the epoch of each known holder record.
+func (s *Syncer) HolderEpochs() map[budget.Account]uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make(map[budget.Account]uint64, len(s.holders))
+	for account, record := range s.holders {
+		out[account] = record.Epoch
+	}
+	return out
+}
