Run the whole path end to end with real processes

Cause: everything else is measured on this path, and a first request waited for a minute: a new holder had not read its treasury, and a question for keys did not make it read. Change: devel/testbed runs the platform's stand-ins and knows each process's settings; test/e2e builds and starts the daemons; a holder reads the treasury when it takes over and when an unknown budget is asked for. Result: the published Go client gets whole and streamed answers through router and agent, a plain service gets its call, three bills become durable; before, the first call ended with 503.

--- a/devel/faultproxy/faultproxy.go
+++ b/devel/faultproxy/faultproxy.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const copyBufferBytes = 32 << 10
@@ -19,6 +21,7 @@
 	target   string
 	bytes    atomic.Int64
 	delay    atomic.Int64 // nanoseconds added to each direction
+	limiter  atomic.Pointer[rate.Limiter]
 
 	mu     sync.Mutex
 	links  map[*link]struct{}
@@ -47,6 +50,10 @@
 // SetDelay adds d to each direction of all connections.
 func (p *Proxy) SetDelay(d time.Duration) { p.delay.Store(int64(d)) }
 
+// SetLimiter bounds the bytes/s of both directions together, nil for no bound. A
+// limiter can be shared by the proxies of one link.
+func (p *Proxy) SetLimiter(l *rate.Limiter) { p.limiter.Store(l) }
+
 // Cut resets all open connections.
 func (p *Proxy) Cut() {
 	for _, l := range p.open() {
@@ -182,6 +189,9 @@
 		}
 	}()
 	for c := range queue {
+		if limiter := p.limiter.Load(); limiter != nil {
+			_ = limiter.WaitN(ctx, min(len(c.data), limiter.Burst()))
+		}
 		if !l.deliver(c, dst) {
 			return
 		}
--- a/devel/standin/hostlist/hostlist.go
+++ b/devel/standin/hostlist/hostlist.go
@@ -85,6 +85,11 @@
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
 		return
 	}
+	Serve(w, r, list)
+}
+
+// Serve answers a request with a list, or that it has not changed.
+func Serve(w http.ResponseWriter, r *http.Request, list *hosts.List) {
 	etag := fmt.Sprintf(`"%016x"`, list.Version)
 	w.Header().Set("ETag", etag)
 	if r.Header.Get("If-None-Match") == etag {
--- /dev/null
+++ b/devel/testbed/platform.go
@@ -0,0 +1,364 @@
+package testbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/monsoonworks/monsoonworks/devel/faultproxy"
+	"github.com/monsoonworks/monsoonworks/devel/standin/engine"
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostlist"
+	"github.com/monsoonworks/monsoonworks/devel/standin/service"
+	"github.com/monsoonworks/monsoonworks/devel/standin/storeserver"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/operator"
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// Platform runs the stand-ins of one deployment and knows the settings of its
+// processes. Processes of different regions meet through fault proxies.
+type Platform struct {
+	Spec     Spec
+	Store    *storeserver.Server
+	HostList *hostlist.Server
+	// Engines and Services are the stand-ins by the name of their agent.
+	Engines  map[string]*engine.Engine
+	Services map[string]*service.Service
+	// Nodes are the settings of all processes by name.
+	Nodes map[string]settings.Settings
+	// Keys holds an API key of each workspace's default budget.
+	Keys map[string]string
+	// Money changes the budgets.
+	Money operator.Money
+
+	dir      string
+	number   uint32
+	link     *rate.Limiter
+	storeURL string
+
+	mu      sync.Mutex
+	servers []*http.Server
+	proxies map[proxyKey]*faultproxy.Proxy
+	views   map[string]string // host list URL by region
+	stores  map[string]string // store URL by region
+}
+
+// proxyKey names the proxy through which a region reaches a host or the store.
+type proxyKey struct{ region, target string }
+
+// storeTarget is the name of the store among proxy targets.
+const storeTarget = "store"
+
+// Options of a Platform.
+type Options struct {
+	// Dir is where settings and secrets are written.
+	Dir string
+	// HostListLag is how late changes of the host list become visible.
+	HostListLag time.Duration
+	// Engine is the template of the model engines.
+	Engine engine.Config
+	// Service is the template of the plain services.
+	Service service.Config
+	// Region and domain delays are emulated if Latency is set.
+	Latency bool
+}
+
+// New starts the stand-ins and writes configuration and budgets to the store.
+func New(ctx context.Context, spec Spec, o Options) (*Platform, error) {
+	p := &Platform{
+		Spec: spec, Engines: map[string]*engine.Engine{}, Services: map[string]*service.Service{},
+		Nodes: map[string]settings.Settings{}, Keys: map[string]string{}, dir: o.Dir, number: platforms.Add(1),
+		proxies: map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
+		Store:    storeserver.New(memstore.New(memstore.Options{})),
+		HostList: hostlist.New(o.HostListLag),
+	}
+	if o.Latency {
+		p.link = rate.NewLimiter(rate.Limit(2*spec.LinkBytesPerSecond), linkBurstBytes)
+	}
+	p.Money = operator.Money{KV: p.Store.Store, Shards: spec.Shards}
+	if err := p.start(ctx, o); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// linkBurstBytes is the queue of the emulated link between regions.
+const linkBurstBytes = 256 << 10
+
+func (p *Platform) start(ctx context.Context, o Options) error {
+	secret := filepath.Join(p.dir, "secret")
+	if err := os.WriteFile(secret, []byte("a-shared-secret-of-the-testbed"), 0o600); err != nil {
+		return err
+	}
+	address, err := p.serve(p.Store)
+	if err != nil {
+		return err
+	}
+	p.storeURL = "http://" + address
+	for _, region := range p.Spec.RegionNames() {
+		if err := p.openRegion(region, address); err != nil {
+			return err
+		}
+	}
+	if err := p.addNodes(o, secret); err != nil {
+		return err
+	}
+	return p.bootstrap(ctx)
+}
+
+// openRegion gives a region its view of the host list and its way to the store.
+func (p *Platform) openRegion(region, storeAddress string) error {
+	address, err := p.serve(&regionView{platform: p, region: region})
+	if err != nil {
+		return err
+	}
+	p.views[region] = "http://" + address + "/hosts"
+	proxy, err := p.proxy(proxyKey{region, storeTarget}, storeAddress, region != p.Spec.StoreRegion)
+	if err != nil {
+		return err
+	}
+	p.stores[region] = "http://" + proxy.Address()
+	return nil
+}
+
+// serve serves a handler on a free port and returns its address.
+func (p *Platform) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	p.mu.Lock()
+	p.servers = append(p.servers, server)
+	p.mu.Unlock()
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// proxy returns the proxy of a key, made on first use.
+func (p *Platform) proxy(key proxyKey, target string, far bool) (*faultproxy.Proxy, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if proxy := p.proxies[key]; proxy != nil {
+		return proxy, nil
+	}
+	proxy, err := faultproxy.New("127.0.0.1:0", target)
+	if err != nil {
+		return nil, err
+	}
+	if far && p.link != nil {
+		proxy.SetDelay(p.Spec.RegionDelay)
+		proxy.SetLimiter(p.link)
+	}
+	p.proxies[key] = proxy
+	return proxy, nil
+}
+
+func (p *Platform) addNodes(o Options, secret string) error {
+	for _, d := range p.Spec.Domains {
+		for i := range d.Routers {
+			p.addNode(d, fmt.Sprintf("%s-router-%d", d.Name, i+1), wire.RoleRouter, secret, settings.Agent{})
+		}
+		for i := range d.Models {
+			if err := p.addModel(d, fmt.Sprintf("%s-model-%d", d.Name, i+1), o, secret); err != nil {
+				return err
+			}
+		}
+		for i := range d.Services {
+			if err := p.addService(d, fmt.Sprintf("%s-service-%d", d.Name, i+1), o, secret); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (p *Platform) addModel(d Domain, name string, o Options, secret string) error {
+	cfg := o.Engine
+	cfg.Name, cfg.Models = name, []string{p.Spec.Model.Name}
+	p.Engines[name] = engine.New(cfg)
+	address, err := p.serve(p.Engines[name].Handler())
+	if err != nil {
+		return err
+	}
+	p.addNode(d, name, wire.RoleAgent, secret, settings.Agent{
+		Pool: ModelPool, Kind: config.PoolModel, URL: "http://" + address, Slots: p.Spec.Slots,
+	})
+	return nil
+}
+
+func (p *Platform) addService(d Domain, name string, o Options, secret string) error {
+	p.Services[name] = service.New(o.Service)
+	address, err := p.serve(p.Services[name].Handler())
+	if err != nil {
+		return err
+	}
+	p.addNode(d, name, wire.RoleAgent, secret, settings.Agent{
+		Pool: ServicePool, Kind: config.PoolService, URL: "http://" + address, Slots: p.Spec.Slots,
+	})
+	return nil
+}
+
+func (p *Platform) addNode(d Domain, name string, role wire.Role, secret string, a settings.Agent) {
+	number := len(p.Nodes) + 1
+	inner := p.hostAddress(number, innerPort)
+	s := settings.Default()
+	s.Role, s.Name, s.Region, s.Domain = role, name, d.Region, d.Name
+	s.Inner = settings.Inner{Listen: inner, Advertise: inner, SecretFile: secret}
+	s.Store.Endpoints = []string{p.stores[d.Region]}
+	s.HostList.URL = p.views[d.Region]
+	s.HostList.Poll = settings.Duration(200 * time.Millisecond)
+	if role == wire.RoleRouter {
+		s.Public.Listen = p.hostAddress(number, publicPort)
+	} else {
+		s.Agent = a
+	}
+	p.Nodes[name] = s
+	p.HostList.Put(hosts.Host{
+		Name: name, Address: inner, Role: role, Region: d.Region, Domain: d.Name, Pool: a.Pool,
+	})
+}
+
+// Ports of the hosts. Each host has an address of its own in the loopback
+// network, as hosts do, so that no two can collide.
+const (
+	innerPort  = 7101
+	publicPort = 8080
+)
+
+// platforms numbers the platforms of this process.
+var platforms atomic.Uint32
+
+// hostAddress returns the address of the n-th host of this platform.
+func (p *Platform) hostAddress(n, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 16+os.Getpid()%200, p.number%256, n, port)
+}
+
+// bootstrap writes the configuration and gives each workspace a budget and a key.
+func (p *Platform) bootstrap(ctx context.Context) error {
+	changes, err := p.Spec.Changes()
+	if err != nil {
+		return err
+	}
+	if _, err := config.Apply(ctx, p.Store.Store, 0, changes, "testbed"); err != nil {
+		return err
+	}
+	for _, w := range p.Spec.Workspaces {
+		id := budget.MakeID(w.Name, "")
+		if err := p.Money.CreateBudget(ctx, id); err != nil {
+			return err
+		}
+		if _, err := p.Money.TopUp(ctx, id, "first", p.Spec.TopUp); err != nil {
+			return err
+		}
+		if p.Keys[w.Name], _, err = p.Money.IssueKey(ctx, id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PartitionRegions makes all connections between regions silent, or lets them
+// work again.
+func (p *Platform) PartitionRegions(on bool) {
+	for key, proxy := range p.farProxies() {
+		_ = key
+		proxy.Partition(on)
+	}
+}
+
+// Proxies calls f with each proxy that leads from the region to the named host.
+func (p *Platform) Proxies(region, target string, f func(*faultproxy.Proxy)) {
+	p.mu.Lock()
+	proxy := p.proxies[proxyKey{region, target}]
+	p.mu.Unlock()
+	if proxy != nil {
+		f(proxy)
+	}
+}
+
+// StoreProxy is the region's way to the store.
+func (p *Platform) StoreProxy(region string) *faultproxy.Proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.proxies[proxyKey{region, storeTarget}]
+}
+
+func (p *Platform) farProxies() map[proxyKey]*faultproxy.Proxy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[proxyKey]*faultproxy.Proxy{}
+	for key, proxy := range p.proxies {
+		if key.target != storeTarget || key.region != p.Spec.StoreRegion {
+			out[key] = proxy
+		}
+	}
+	return out
+}
+
+// LinkBytes returns the bytes that crossed between regions so far.
+func (p *Platform) LinkBytes() int64 {
+	var n int64
+	for _, proxy := range p.farProxies() {
+		n += proxy.Bytes()
+	}
+	return n
+}
+
+// Close stops the stand-ins and proxies.
+func (p *Platform) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		_ = s.Close()
+	}
+	for _, proxy := range p.proxies {
+		proxy.Close()
+	}
+}
+
+// regionView serves the host list as a region sees it: hosts of other regions
+// are reached through proxies.
+type regionView struct {
+	platform *Platform
+	region   string
+}
+
+// ServeHTTP implements http.Handler.
+func (v *regionView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	list, up := v.platform.HostList.Visible()
+	if !up {
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	seen := make([]hosts.Host, 0, list.Len())
+	for _, h := range list.All() {
+		if h.Region != v.region {
+			proxy, err := v.platform.proxy(proxyKey{v.region, h.Name}, h.Address, true)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			h.Address = proxy.Address()
+		}
+		seen = append(seen, h)
+	}
+	hostlist.Serve(w, r, hosts.NewList(seen))
+}
+
+// ErrNoNode means that no process has the name.
+var ErrNoNode = errors.New("no such node")
--- /dev/null
+++ b/devel/testbed/spec.go
@@ -0,0 +1,179 @@
+// Package testbed runs a small deployment on one machine for tests and the
+// demonstration: stand-ins for the platform and the backend servers, and the
+// configuration and budgets of one of the two deployments.
+package testbed
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+)
+
+// Domain is a failure domain of a Spec.
+type Domain struct {
+	Name, Region string
+	// Routers, Models and Services are the numbers of hosts of each kind.
+	Routers, Models, Services int
+}
+
+// Spec describes a deployment.
+type Spec struct {
+	Name    string
+	Domains []Domain
+	// StoreRegion is where the key-value service runs.
+	StoreRegion string
+	// DomainDelay, RegionDelay and ClientDelay are one-way latencies.
+	DomainDelay, RegionDelay, ClientDelay time.Duration
+	// LinkBytesPerSecond is the rate of the link between regions, each way.
+	LinkBytesPerSecond int64
+	Shards             uint32
+	RefusalWeight      int
+	Model              config.Model
+	Service            config.Service
+	Workspaces         []config.Workspace
+	// TopUp is paid into each workspace's default budget at the start.
+	TopUp budget.Tokens
+	// Slots is the number of requests that a model server runs at once.
+	Slots int
+}
+
+const linkBytesPerSecond = 30_000_000 / 8 // 30 Mbit/s
+
+// Yukimi returns today's size of the rota, ordering and menu deployment, which
+// minds refusals more.
+func Yukimi() Spec {
+	s := Spec{
+		Name: "yukimi", StoreRegion: "doo-central", Shards: 4, RefusalWeight: 80,
+		Domains: []Domain{
+			{Name: "sapporo-a", Region: "doo-central", Routers: 2, Models: 8, Services: 1},
+			{Name: "asahikawa-a", Region: "doo-central", Routers: 1, Models: 6, Services: 1},
+			{Name: "kushiro-a", Region: "doo-east", Routers: 2, Models: 6, Services: 1},
+		},
+		DomainDelay: time.Millisecond, RegionDelay: 12 * time.Millisecond, ClientDelay: 3 * time.Millisecond,
+	}
+	return s.complete("menu-planner", "rota")
+}
+
+// Armor returns today's size of the rounds, letters and ledger deployment, which
+// minds overspend more.
+func Armor() Spec {
+	s := Spec{
+		Name: "armor", StoreRegion: "finistere", Shards: 4, RefusalWeight: 20,
+		Domains: []Domain{
+			{Name: "quimper", Region: "finistere", Routers: 2, Models: 8, Services: 1},
+			{Name: "brest", Region: "finistere", Routers: 1, Models: 6, Services: 1},
+			{Name: "rennes", Region: "ille-vilaine", Routers: 2, Models: 6, Services: 1},
+		},
+		DomainDelay: 500 * time.Microsecond, RegionDelay: 12 * time.Millisecond, ClientDelay: 3 * time.Millisecond,
+	}
+	return s.complete("drafting", "ledger")
+}
+
+// ByName returns the deployment with a name.
+func ByName(name string) (Spec, error) {
+	switch name {
+	case "yukimi":
+		return Yukimi(), nil
+	case "armor":
+		return Armor(), nil
+	}
+	return Spec{}, fmt.Errorf("no deployment %q: yukimi and armor exist", name)
+}
+
+// Small returns a copy of s with one router, two model servers and one
+// plain-service server per domain.
+func (s Spec) Small() Spec {
+	s.Domains = slices.Clone(s.Domains)
+	for i := range s.Domains {
+		s.Domains[i].Routers, s.Domains[i].Models, s.Domains[i].Services = 1, 2, 1
+	}
+	return s
+}
+
+const workspaceCount = 10
+
+func (s Spec) complete(model, service string) Spec {
+	s.LinkBytesPerSecond = linkBytesPerSecond
+	s.TopUp, s.Slots = 2_000_000, 16
+	s.Model = config.Model{
+		Name: model, PromptTokensPerByte: 0.5, MessageOverheadTokens: 8,
+		MaxOutputTokens: 4096, DeadlineMillis: 60_000,
+	}
+	s.Service = config.Service{
+		Name: service, PriceTokens: 10, IdempotentMethods: []string{"GET", "HEAD"},
+		DeadlineMillis: 15_000, MaxBodyBytes: 1 << 20,
+	}
+	regions := s.RegionNames()
+	for i := range workspaceCount {
+		s.Workspaces = append(s.Workspaces, config.Workspace{
+			Name: fmt.Sprintf("%s-%02d", s.Name, i), HomeRegion: regions[i%len(regions)],
+			Models: []string{model}, Services: []string{service},
+			MaxConcurrent: 256, RequestsPerSecond: 200,
+		})
+	}
+	return s
+}
+
+// RegionNames returns the regions in the order of the domains.
+func (s Spec) RegionNames() []string {
+	var out []string
+	for _, d := range s.Domains {
+		if !slices.Contains(out, d.Region) {
+			out = append(out, d.Region)
+		}
+	}
+	return out
+}
+
+// Changes returns the configuration of the deployment.
+func (s Spec) Changes() ([]config.Change, error) {
+	deployment := config.Deployment{
+		Name: s.Name, Shards: s.Shards, StoreRegion: s.StoreRegion, RefusalWeight: s.RefusalWeight,
+		LinkBytesPerSecond: s.LinkBytesPerSecond, KeyWindowSeconds: 3600,
+	}
+	for _, region := range s.RegionNames() {
+		r := config.Region{Name: region}
+		for _, d := range s.Domains {
+			if d.Region == region {
+				r.Domains = append(r.Domains, d.Name)
+			}
+		}
+		deployment.Regions = append(deployment.Regions, r)
+	}
+	b := changeList{}
+	b.put(config.SectionDeployment, config.DeploymentName, deployment)
+	b.put(config.SectionModel, s.Model.Name, s.Model)
+	b.put(config.SectionService, s.Service.Name, s.Service)
+	b.put(config.SectionPool, ModelPool, config.Pool{
+		Name: ModelPool, Kind: config.PoolModel, Targets: []string{s.Model.Name}, ChecksFence: true, MinUpShare: 0.5,
+	})
+	b.put(config.SectionPool, ServicePool, config.Pool{
+		Name: ServicePool, Kind: config.PoolService, Targets: []string{s.Service.Name}, MinUpShare: 0.5,
+	})
+	for _, w := range s.Workspaces {
+		b.put(config.SectionWorkspace, w.Name, w)
+	}
+	return b.changes, b.err
+}
+
+// Names of the pools.
+const (
+	ModelPool   = "models"
+	ServicePool = "services"
+)
+
+type changeList struct {
+	changes []config.Change
+	err     error
+}
+
+func (b *changeList) put(section, name string, value any) {
+	change, err := config.Put(section, name, value)
+	if err != nil && b.err == nil {
+		b.err = err
+	}
+	b.changes = append(b.changes, change)
+}
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -159,6 +159,9 @@
 	if missing := h.whyUnknown(now, r.Budget); l == nil && missing != MissingNothing {
 		grant.Missing = missing
 		if missing == MissingPending {
+			h.needTreasury = true
+		}
+		if missing == MissingPending && r.Want > 0 {
 			h.noteUnmet(now, h.budget(r.Budget), r.Want)
 		}
 		return grant
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -65,7 +65,7 @@
 	if h.deposed || h.sealed || since < UrgentFlushInterval {
 		return false
 	}
-	if since >= FlushInterval && (len(h.budgets) > 0 || len(h.lots) > 0) {
+	if h.needTreasury || since >= FlushInterval && (len(h.budgets) > 0 || len(h.lots) > 0) {
 		return true
 	}
 	pending := 0
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -139,6 +139,9 @@
 	recon    *reconState
 	treasury *Treasury // last observed, not changed
 	seenAt   time.Time // when treasury was observed
+	// needTreasury is set when a router asked for a budget that the observed
+	// treasury does not list.
+	needTreasury bool
 
 	committedSeq uint64
 	nextSeq      uint64
@@ -216,7 +219,7 @@
 // ObserveTreasury gives the holder a treasury that was just read. The holder
 // keeps t, and the caller must not change it.
 func (h *Holder) ObserveTreasury(now time.Time, t *Treasury) {
-	h.treasury, h.seenAt = t, now
+	h.treasury, h.seenAt, h.needTreasury = t, now, false
 }
 
 // BudgetBalance is the state of one budget at its holder, in tokens.
--- a/internal/holder/balance.go
+++ b/internal/holder/balance.go
@@ -42,7 +42,8 @@
 	record, known := m.o.Directory.Holder(args.Account)
 	reachable := false
 	if known {
-		_, err := m.o.Caller.Call(ctx, record.Address, "Holder.Return", &args, &reply)
+		address := addressOf(record, m.o.Directory.Routers(region))
+		_, err := m.o.Caller.Call(ctx, address, "Holder.Return", &args, &reply)
 		reachable = err == nil && !reply.NotHolder && len(reply.Returned) == len(needs)
 	}
 	now := time.Now()
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -102,11 +102,12 @@
 // addresses lists whom to ask about an account, the known holder first.
 func (c *Client) addresses(key budget.Account) []string {
 	var out []string
+	routers := c.directory.Routers(key.Region)
 	record, ok := c.directory.Holder(key)
 	if ok && !record.Released {
-		out = append(out, record.Address)
+		out = append(out, addressOf(record, routers))
 	}
-	for _, peer := range candidates(key, c.directory.Routers(key.Region)) {
+	for _, peer := range candidates(key, routers) {
 		if len(out) >= maxAsked {
 			break
 		}
@@ -134,3 +135,14 @@
 	}
 	return true
 }
+
+// addressOf returns the address of a holder. The host list goes before the
+// record, because a host can have different addresses for different regions.
+func addressOf(record Record, routers []Peer) string {
+	for _, peer := range routers {
+		if peer.Name == record.Name {
+			return peer.Address
+		}
+	}
+	return record.Address
+}
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -109,7 +109,7 @@
 	case !result.Committed:
 		return errors.New("another router was faster")
 	}
-	return m.install(a, record, result.Revision, result.Revision)
+	return m.install(ctx, a, record, result.Revision, result.Revision)
 }
 
 func (m *Manager) readAccount(ctx context.Context, key budget.Account) (holder, acct store.Entry, old *budget.AccountRecord, err error) {
@@ -159,11 +159,12 @@
 	if current == nil || current.Epoch != record.Epoch || current.Holder != m.o.Self || current.FlushSeq != record.FlushSeq {
 		return errors.New("takeover did not take effect")
 	}
-	return m.install(a, record, acct.ModRevision, holder.ModRevision)
+	return m.install(ctx, a, record, acct.ModRevision, holder.ModRevision)
 }
 
-// install starts the holder of an account that was taken over.
-func (m *Manager) install(a *account, record *budget.AccountRecord, rev, holderRev int64) error {
+// install starts the holder of an account that was taken over. It reads the
+// treasury at once, because the first question is about a budget in it.
+func (m *Manager) install(ctx context.Context, a *account, record *budget.AccountRecord, rev, holderRev int64) error {
 	now := time.Now()
 	m.mu.Lock()
 	policy := m.policy
@@ -172,6 +173,10 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", accountKey(a.key), err)
 	}
+	treasury, _, err := m.readTreasury(ctx, a.key.Shard)
+	if err == nil {
+		core.ObserveTreasury(now, treasury)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.core, a.claims, a.takenOver = core, newClaimTable(), now
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -128,11 +128,14 @@
 	return nil
 }
 
+// MarshalYAML implements yaml.InterfaceMarshaler.
+func (d Duration) MarshalYAML() (any, error) { return time.Duration(d).String(), nil }
+
 // Std returns d as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
-// defaults returns the settings that apply where a file is silent.
-func defaults() Settings {
+// Default returns the settings that apply where a file is silent.
+func Default() Settings {
 	return Settings{
 		Public:       Public{MaxConnections: 4096, MaxConcurrent: 2048},
 		Agent:        Agent{Slots: 16},
@@ -159,7 +162,7 @@
 
 // Parse decodes and checks settings. Unknown keys are errors.
 func Parse(data []byte) (Settings, error) {
-	s := defaults()
+	s := Default()
 	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
 		return Settings{}, errors.New(yaml.FormatError(err, false, true))
 	}
--- /dev/null
+++ b/test/e2e/path_test.go
@@ -0,0 +1,67 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/monsoonworks/monsoonworks/devel/testbed"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// Guards against a break anywhere on the path of a request through real
+// processes: the published client gets whole and streamed answers, a plain
+// service gets its call unchanged, and both are billed once.
+func TestWholePath(t *testing.T) {
+	d := start(t, testbed.Yukimi().Small(), testbed.Options{})
+	router, workspace := "sapporo-a-router-1", "yukimi-00"
+	client := openai.NewClient(option.WithBaseURL(d.url(router)+"/v1"), option.WithAPIKey(d.Keys[workspace]))
+	params := openai.ChatCompletionNewParams{
+		Model: d.Spec.Model.Name, MaxTokens: openai.Int(40),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Which flavours this week?")},
+	}
+	whole, err := client.Chat.Completions.New(context.Background(), params)
+	d.c.Assert(err, qt.IsNil)
+	d.c.Assert(whole.Choices[0].Message.Content, qt.Not(qt.Equals), "")
+	d.c.Assert(whole.Usage.CompletionTokens > 0 && whole.Usage.CompletionTokens <= 40, qt.IsTrue)
+
+	stream := client.Chat.Completions.NewStreaming(context.Background(), params)
+	text := ""
+	for stream.Next() {
+		if choices := stream.Current().Choices; len(choices) > 0 {
+			text += choices[0].Delta.Content
+		}
+	}
+	d.c.Assert(stream.Err(), qt.IsNil)
+	d.c.Assert(text, qt.Equals, whole.Choices[0].Message.Content)
+
+	order := d.call(router, workspace, http.MethodPost, "/svc/rota/orders?shop=7", `{"milk":12}`,
+		map[string]string{"X-Shop": "7"})
+	d.c.Assert(order.status, qt.Equals, http.StatusCreated, qt.Commentf("%+v", order))
+	d.c.Assert(order.verdict, qt.Equals, "ran")
+	d.assertBilled(workspace, 3)
+}
+
+// billedWithin is how long bills may take to become durable: one flush interval
+// and a margin for a busy machine.
+const billedWithin = budget.FlushInterval + 30*time.Second
+
+// assertBilled waits until the workspace's bills are durable and compares their
+// number.
+func (d *deployment) assertBilled(workspace string, want int) {
+	d.c.Helper()
+	id := budget.MakeID(workspace, "")
+	var bills []budget.Bill
+	d.eventually(billedWithin, func() bool {
+		statement, err := d.Money.Statement(context.Background(), id, d.Spec.RegionNames())
+		d.c.Assert(err, qt.IsNil)
+		bills = statement.Bills
+		return len(bills) >= want
+	}, "%d bills of %d are durable", len(bills), want)
+	d.c.Assert(bills, qt.HasLen, want)
+}
--- /dev/null
+++ b/test/e2e/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package e2e
+
+const raceEnabled = true
