--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/goccy/go-yaml"
+	"github.com/google/uuid"
 
 	"github.com/monsoonworks/monsoonworks/devel/testbed"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
@@ -116,19 +117,46 @@
 }
 
 // kill ends a process without a drain.
-func (d *deployment) kill(name string) { d.end(name, syscall.SIGKILL) }
+func (d *deployment) kill(name string) { _ = d.end(name, syscall.SIGKILL) }
 
-// end sends a signal and waits for the end of the process.
-func (d *deployment) end(name string, sig syscall.Signal) error {
+// end sends signals and waits for the end of the process.
+func (d *deployment) end(name string, signals ...syscall.Signal) error {
 	d.mu.Lock()
 	p := d.processes[name]
 	delete(d.processes, name)
 	d.mu.Unlock()
-	_ = p.cmd.Process.Signal(sig)
+	for _, sig := range signals {
+		_ = p.cmd.Process.Signal(sig)
+	}
 	<-p.done
 	return p.err
 }
 
+// running returns the number of requests that the model engines run now.
+func (d *deployment) running() int {
+	n := 0
+	for _, e := range d.Engines {
+		for _, run := range e.Runs() {
+			if run.End.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// runs returns the number of requests that the model engines have run.
+func (d *deployment) runs() int {
+	n := 0
+	for _, e := range d.Engines {
+		n += len(e.Runs())
+	}
+	return n
+}
+
+// newKey returns an idempotency key that carries its time.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
 func (d *deployment) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
