Test the budget code with a random model of the whole deployment

Cause: overspend, double bills and amounts that never come back appear only in rare interleavings of lost messages, restarts and takeovers. Change: a model with a compare-and-swap store, routers, agents and competing holders drives the real code and keeps the ground truth.

--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -1,6 +1,10 @@
 package budget
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Exchange answers a router's report. Reports are cumulative and list all lots
 // that the router has of the account, so a lost or repeated message does no
@@ -111,16 +115,16 @@
 	switch {
 	case l == nil && req.Epoch < h.epoch && r.Lot.Epoch < h.epoch:
 		return grant, false
+	case l != nil && l.phase == lotOrphan:
+		return grant, false
 	case l == nil:
 		h.counters.LateBills += int64(len(r.Bills))
 		grant.Closed = true
 		return grant, true
-	case l.router != req.Router || l.budget.id != r.Budget:
+	case l.router.Boot != req.Router.Boot || l.budget.id != r.Budget:
 		h.violate(violated("holder", r.Budget, "lot %v is reported by %v", r.Lot.Mark(), req.Router))
 		grant.Closed = true
 		return grant, true
-	case l.phase == lotOrphan:
-		return grant, false
 	}
 	l.reported = true
 	for _, bill := range r.Bills {
@@ -374,8 +378,10 @@
 				}
 			}
 		}
+		slices.Sort(u.Regions)
 		out = append(out, u)
 	}
+	slices.SortFunc(out, func(a, b Unmet) int { return strings.Compare(string(a.Budget), string(b.Budget)) })
 	return out
 }
 
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -145,10 +145,34 @@
 		}
 		p.moves[id] = m
 	}
-	if changed {
+	removed, err := h.removeLeftovers(t, next)
+	if changed || removed {
 		p.Treasury = next
 	}
-	return nil
+	return err
+}
+
+// removeLeftovers deletes the region's demand for budgets that are not active
+// here, which a former holder has left. It would distort the regions' shares.
+func (h *Holder) removeLeftovers(t, next *Treasury) (bool, error) {
+	region := h.account.Region
+	removed := false
+	for id, tb := range t.Budgets {
+		drawn, listed := tb.Drawn[region]
+		if _, active := h.budgets[id]; active || !listed && tb.Demand[region] == 0 {
+			continue
+		}
+		if drawn != 0 {
+			h.unresolved = true
+			return false, fmt.Errorf("%w: budget %q, treasury has %d", ErrDrawnMismatch, id, drawn)
+		}
+		next.Budgets[id] = tb.clone()
+		if err := next.Fold(id, region, 0, 0); err != nil {
+			return false, err
+		}
+		removed = true
+	}
+	return removed, nil
 }
 
 // demandMoved reports whether a demand changed enough to be worth a write.
@@ -162,7 +186,7 @@
 	unmet := b.stillUnmet(now)
 	if b.lots == 0 && unmet == 0 && now.Sub(b.lastUse) >= IdleAfter {
 		m := move{back: free}
-		if b.unreconciled == 0 && b.thaw == 0 && b.pending == 0 && len(b.losses) == 0 && b.drawn > 0 {
+		if b.unreconciled == 0 && b.thaw == 0 && b.pending == 0 && len(b.losses) == 0 && (b.drawn > 0 || b.listed) {
 			m.fold, m.spent, m.lost = true, b.spent, b.lost
 		}
 		return m
@@ -407,6 +431,7 @@
 func (h *Holder) commitMove(b *budgetState, m move) {
 	b.drawn += m.draw - m.back
 	b.returnAsk = max(0, b.returnAsk-m.back)
+	b.listed = !m.fold
 	if m.draw > 0 {
 		b.drawTried = time.Time{}
 	}
@@ -421,7 +446,7 @@
 // dropEmptyBudgets forgets budgets that have nothing here.
 func (h *Holder) dropEmptyBudgets(now time.Time) {
 	for id, b := range h.budgets {
-		if b.drawn == 0 && b.lots == 0 && b.pending == 0 && b.stillUnmet(now) == 0 && !now.Before(b.retryAt) {
+		if b.drawn == 0 && b.lots == 0 && b.pending == 0 && !b.listed && b.stillUnmet(now) == 0 && !now.Before(b.retryAt) {
 			delete(h.budgets, id)
 		}
 	}
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -1,8 +1,11 @@
 package budget
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -94,20 +97,21 @@
 	// thaw is what a fence or a reconciliation has freed. It is granted only
 	// after a flush: a successor that does not know of the settlement would
 	// accept the lots from their routers again.
-	thaw         Tokens
-	held         Tokens // returns of flushes whose outcome is open
-	lots         int    // open, orphan and retired
-	pending      int    // bills that are not durable
-	demand       float64
-	lastUse      time.Time
-	unmet        Tokens
-	unmetAt      time.Time
-	recallUntil  time.Time
-	returnAsk    Tokens
-	returnAskAt  time.Time
-	retryAt      time.Time // no urgent flush before
-	drawTried    time.Time // the last time a flush found nothing to draw
-	regions      map[string]regionAnswer
+	thaw        Tokens
+	held        Tokens // returns of flushes whose outcome is open
+	lots        int    // open, orphan and retired
+	pending     int    // bills that are not durable
+	listed      bool   // the treasury has an entry for this region
+	demand      float64
+	lastUse     time.Time
+	unmet       Tokens
+	unmetAt     time.Time
+	recallUntil time.Time
+	returnAsk   Tokens
+	returnAskAt time.Time
+	retryAt     time.Time // no urgent flush before
+	drawTried   time.Time // the last time a flush found nothing to draw
+	regions     map[string]regionAnswer
 }
 
 // regionAnswer is what another region's holder said when asked for a return.
@@ -238,8 +242,8 @@
 // Budgets returns the number of active budgets and of open lots.
 func (h *Holder) Budgets() (active, lots int) { return len(h.budgets), len(h.lots) }
 
-// Routers returns the router incarnations that have lots of the account. The
-// caller watches them and calls BeginFence for one that is dead.
+// Routers returns the router incarnations that have lots of the account, by
+// name and boot. The caller watches them and calls BeginFence for one that is dead.
 func (h *Holder) Routers() []Incarnation {
 	var out []Incarnation
 	for r, rs := range h.routers {
@@ -247,9 +251,17 @@
 			out = append(out, r)
 		}
 	}
+	slices.SortFunc(out, compareIncarnations)
 	return out
 }
 
+func compareIncarnations(a, b Incarnation) int {
+	if c := strings.Compare(a.Name, b.Name); c != 0 {
+		return c
+	}
+	return bytes.Compare(a.Boot[:], b.Boot[:])
+}
+
 func (rs *routerState) openLots() int {
 	n := 0
 	for _, l := range rs.lots {
--- a/internal/budget/recover.go
+++ b/internal/budget/recover.go
@@ -21,10 +21,10 @@
 	FencedThrough LotMark
 }
 
-// LostAgent is an agent whose memory of earlier requests is gone: its boot
-// changed, or it is no longer listed and stayed unreachable.
+// LostAgent is a run of an agent whose memory is gone: the agent has another
+// boot now, or it is no longer listed and stayed unreachable.
 type LostAgent struct {
-	Name string
+	Agent Incarnation
 	// Before is when the holder's process learned of it, by its own clock. Lots
 	// opened later cannot have been used there. Zero means that all can.
 	Before time.Time
@@ -39,12 +39,12 @@
 // fenceState is the progress of fencing one router incarnation.
 type fenceState struct {
 	through LotMark
-	running map[string]int // per agent, requests in progress in fenced lots
+	running map[Incarnation]int // per agent, requests in progress in fenced lots
 }
 
 // reconState is the progress of reconciling former epochs.
 type reconState struct {
-	running map[string][]RunningAttempt // per agent, as last collected
+	running map[Incarnation][]RunningAttempt // per agent, as last collected
 }
 
 // BeginFence gives a router incarnation up: its lots are frozen, its exchanges
@@ -59,7 +59,7 @@
 	if rs.fence == nil {
 		rs.fence = &fenceState{
 			through: LotMark{Epoch: h.epoch, Num: h.nextLot},
-			running: map[string]int{},
+			running: map[Incarnation]int{},
 		}
 	}
 	return FenceOrder{Router: router, Through: rs.fence.through}, true
@@ -73,6 +73,7 @@
 			out = append(out, FenceOrder{Router: router, Through: rs.fence.through})
 		}
 	}
+	slices.SortFunc(out, func(a, b FenceOrder) int { return compareIncarnations(a.Router, b.Router) })
 	return out
 }
 
@@ -96,11 +97,11 @@
 					n++
 				}
 			}
-			rs.fence.running[c.Agent.Name] = n
+			rs.fence.running[c.Agent] = n
 		}
 	}
 	if h.recon != nil && c.AccountEpoch >= h.epoch {
-		h.recon.running[c.Agent.Name] = slices.Clone(c.Running)
+		h.recon.running[c.Agent] = slices.Clone(c.Running)
 	}
 	return acks
 }
@@ -127,29 +128,23 @@
 	return h.accept(l, bill, agent)
 }
 
-// FinishFence settles the lots of a fenced router. agents are all agents that
-// the router may have used; lost are those among them whose memory is gone. It
+// FinishFence settles the lots of a fenced router. agents are the present runs of
+// all agents that the router may have used; lost are the runs that it may have
+// used and whose memory is gone. A present run that is given up is in both. It
 // fails with ErrNotCollected or ErrStillRunning while something is missing.
 // What the lots did not use becomes free with the next flush, or Lost if an
 // agent's memory is gone.
-func (h *Holder) FinishFence(now time.Time, router Incarnation, agents []string, lost []LostAgent) error {
+func (h *Holder) FinishFence(now time.Time, router Incarnation, agents []Incarnation, lost []LostAgent) error {
 	rs := h.routers[router]
 	if rs == nil || rs.fence == nil {
 		return ErrNoFence
 	}
-	gone := make([]LostAgent, 0, len(lost))
-	for _, name := range agents {
-		n, collected := rs.fence.running[name]
-		i := slices.IndexFunc(lost, func(a LostAgent) bool { return a.Name == name })
-		switch {
-		case collected && n == 0:
-		case i >= 0:
-			gone = append(gone, lost[i])
-		case collected:
-			return fmt.Errorf("%w: %d at agent %q", ErrStillRunning, n, name)
-		default:
-			return fmt.Errorf("%w: %q", ErrNotCollected, name)
-		}
+	gone, err := missingAgents(agents, lost, func(agent Incarnation) (int, bool) {
+		n, collected := rs.fence.running[agent]
+		return n, collected
+	})
+	if err != nil {
+		return err
 	}
 	for _, l := range rs.lots {
 		if l.phase != lotOpen {
@@ -163,13 +158,36 @@
 	return nil
 }
 
+// missingAgents returns the lost agents from which nothing complete was
+// collected, or an error if another agent is missing. collected returns the
+// number of requests in progress that the agent reported last.
+func missingAgents(agents []Incarnation, lost []LostAgent, collected func(Incarnation) (int, bool)) ([]LostAgent, error) {
+	for _, agent := range agents {
+		n, ok := collected(agent)
+		switch {
+		case ok && n == 0 || slices.ContainsFunc(lost, func(a LostAgent) bool { return a.Agent == agent }):
+		case ok:
+			return nil, fmt.Errorf("%w: %d at agent %q", ErrStillRunning, n, agent.Name)
+		default:
+			return nil, fmt.Errorf("%w: %q", ErrNotCollected, agent.Name)
+		}
+	}
+	var gone []LostAgent
+	for _, a := range lost {
+		if n, ok := collected(a.Agent); !ok || n > 0 {
+			gone = append(gone, a)
+		}
+	}
+	return gone, nil
+}
+
 // loseRest counts what a lot has not billed as lost if an agent that may have
 // used it has lost its memory.
 func (h *Holder) loseRest(now time.Time, l *lotState, gone []LostAgent) {
 	var names []string
 	for _, a := range gone {
 		if a.Before.IsZero() || l.opened.IsZero() || !l.opened.After(a.Before) {
-			names = append(names, a.Name)
+			names = append(names, a.Agent.Name)
 		}
 	}
 	rest := l.limit - l.billed
@@ -197,7 +215,7 @@
 	if len(h.former) == 0 {
 		return
 	}
-	h.recon = &reconState{running: map[string][]RunningAttempt{}}
+	h.recon = &reconState{running: map[Incarnation][]RunningAttempt{}}
 	for _, b := range h.budgets {
 		if b.unreconciled > 0 {
 			return
@@ -250,32 +268,28 @@
 	return rs != nil && rs.adopted
 }
 
-// FinishReconcile ends the reconciliation. agents are all agents that requests
-// of former epochs may have run at, and lost are those among them whose memory
-// is gone. routersComplete is true if the caller is certain that every router
+// FinishReconcile ends the reconciliation. agents are the present runs of
+// all agents that requests of former epochs may have run at, and lost are the
+// runs that they may have run at and whose memory is gone. routersComplete is true if the caller is certain that every router
 // that may have had lots has answered. It fails with ErrNotCollected or
 // ErrStillRunning while something is missing. What is left unreconciled becomes
 // free with the next flush, or Lost if an agent's memory is gone and a router has not answered.
 // Lots that no router has reported are closed; their routers are refused by all
 // agents because no holder of this epoch has confirmed them.
-func (h *Holder) FinishReconcile(now time.Time, agents []string, lost []LostAgent, routersComplete bool) error {
+func (h *Holder) FinishReconcile(now time.Time, agents []Incarnation, lost []LostAgent, routersComplete bool) error {
 	if h.recon == nil {
 		return nil
 	}
+	missing, err := missingAgents(agents, lost, func(agent Incarnation) (int, bool) {
+		running, collected := h.recon.running[agent]
+		return h.runningOrphans(running), collected
+	})
+	if err != nil {
+		return err
+	}
 	var gone []string
-	for _, name := range agents {
-		running, collected := h.recon.running[name]
-		n := h.runningOrphans(running)
-		isLost := slices.ContainsFunc(lost, func(a LostAgent) bool { return a.Name == name })
-		switch {
-		case collected && n == 0:
-		case isLost:
-			gone = append(gone, name)
-		case collected:
-			return fmt.Errorf("%w: %d at agent %q", ErrStillRunning, n, name)
-		default:
-			return fmt.Errorf("%w: %q", ErrNotCollected, name)
-		}
+	for _, a := range missing {
+		gone = append(gone, a.Agent.Name)
 	}
 	for _, l := range h.lots {
 		routersComplete = routersComplete && l.phase != lotOrphan
--- /dev/null
+++ b/internal/budget/steps_test.go
@@ -0,0 +1,432 @@
+package budget
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// choose returns a random element.
+func choose[T any](w *world, list []T) (T, bool) {
+	var zero T
+	if len(list) == 0 {
+		return zero, false
+	}
+	return list[w.pick(len(list))], true
+}
+
+// step performs one random action.
+func (w *world) step() {
+	r := w.routers[w.pick(len(w.routers))]
+	a := w.agents[w.pick(len(w.agents))]
+	p, haveHolder := choose(w, w.holders)
+	switch n := w.pick(100); {
+	case n < 3:
+		w.topUp([]ID{budgetA, budgetB}[w.pick(2)], Tokens(1+w.pick(400)))
+	case n < 18:
+		w.dispatch(r, []ID{budgetA, budgetB}[w.pick(2)], Tokens(1+w.pick(60)))
+	case n < 26:
+		w.finishOne(a, w.pick(80))
+	case n < 42:
+		w.exchange(r)
+	case n < 64:
+		for range 3 {
+			if len(w.msgs) > 0 {
+				w.deliver(w.pick(len(w.msgs)), w.pick(12) == 0)
+			}
+		}
+	case n < 66:
+		w.abandon(r)
+	case n < 71:
+		w.resolveRequests(r, w.pick(4) == 0)
+	case n < 81 && haveHolder:
+		w.flush(p, w.pick(8))
+	case n < 83 && haveHolder:
+		w.resolve(p)
+	case n < 85:
+		w.now = w.now.Add(time.Duration(1+w.pick(40)) * time.Second)
+	case n < 87:
+		w.now = w.now.Add(time.Duration(1+w.pick(900)) * time.Millisecond)
+	case n < 88:
+		w.restartRouter(r)
+	case n < 89:
+		w.restartAgent(a)
+	case n < 91 && (w.newest(r.region) == nil || w.pick(3) == 0):
+		w.takeOver(r)
+	case n < 94 && haveHolder:
+		w.recover(p, w.pick(3) == 0)
+	case n < 96 && haveHolder:
+		w.askReturns(p)
+	case n < 97 && haveHolder && p.h.Seal() == nil:
+		w.flush(p, 3+w.pick(2))
+	case n < 98:
+		w.sendAcks(r)
+	default:
+		w.toggleLink()
+	}
+	w.now = w.now.Add(time.Microsecond)
+	if w.err == nil {
+		w.checkNow()
+	}
+}
+
+// toggleLink cuts or heals the link between two parties.
+func (w *world) toggleLink() {
+	names := []string{"store"}
+	for _, r := range w.routers {
+		names = append(names, r.name)
+	}
+	for _, a := range w.agents {
+		names = append(names, a.name)
+	}
+	link := [2]string{names[w.pick(len(names))], names[w.pick(len(names))]}
+	if w.cut[link] || len(w.cut) > 4 {
+		clear(w.cut)
+		return
+	}
+	w.cut[link] = true
+}
+
+func (w *world) restartRouter(r *routerProc) {
+	w.stopRouter(r)
+	if w.pick(2) == 0 || w.healing {
+		w.startRouter(r)
+	}
+}
+
+func (w *world) restartAgent(a *agentProc) {
+	w.stopAgent(a)
+	if w.pick(3) > 0 {
+		w.startAgent(a)
+	}
+}
+
+// dispatch reserves and sends an attempt to an agent of the region.
+func (w *world) dispatch(r *routerProc, id ID, bound Tokens) {
+	if !r.alive {
+		if w.pick(3) == 0 {
+			w.startRouter(r)
+		}
+		return
+	}
+	var near []*agentProc
+	for _, a := range w.agents {
+		if a.region == r.region && a.alive {
+			near = append(near, a)
+		}
+	}
+	a, ok := choose(w, near)
+	if !ok || !w.linked(r.name, a.name) {
+		return
+	}
+	if _, known := r.sessions[a.inc]; !known {
+		r.sessions[a.inc] = w.now
+	}
+	hold, missing, ok := r.wallet.Reserve(w.now, id, bound)
+	if !ok {
+		r.wallet.SetWaiting(w.now, id, max(bound, missing))
+		return
+	}
+	r.wallet.SetWaiting(w.now, id, 0)
+	ready, err := r.wallet.Ready(hold, r.sessions[a.inc])
+	w.check(err)
+	if !ready && !w.bug.skipRenewal {
+		w.check(r.wallet.Release(w.now, hold))
+		r.wallet.Renew(r.wallet.AccountOf(id))
+		return
+	}
+	req := &request{id: w.uuid(), attempt: w.uuid(), budget: id, hold: hold, router: r, agent: a, agentRun: a.inc}
+	w.reqs = append(w.reqs, req)
+	r.open = append(r.open, req)
+	adm := Admission{Request: req.id, Attempt: req.attempt, Router: r.inc, TargetBoot: a.inc.Boot, Budget: id,
+		Lot: hold.Lot, Slot: hold.Slot, Reserve: hold.Amount, AccountEpoch: r.wallet.LotEpoch(hold)}
+	if w.bug.adoptUnconfirmed {
+		adm.AccountEpoch = r.wallet.Epoch(hold.Lot.Account)
+	}
+	w.send(r.name, a.name, func() { w.admit(a, adm, req) })
+}
+
+func (w *world) admit(a *agentProc, adm Admission, req *request) {
+	_, ended := a.ended[req.attempt]
+	if !a.alive || ended || a.inc != req.agentRun {
+		return
+	}
+	if a.book.Admit(adm) != nil {
+		return // the router finds out when it resolves the attempt
+	}
+	req.admitted = true
+	a.running = append(a.running, req)
+}
+
+// finishOne ends a running attempt at an agent.
+func (w *world) finishOne(a *agentProc, used int) {
+	req, ok := choose(w, a.running)
+	if !ok || !a.alive {
+		return
+	}
+	a.running = slices.DeleteFunc(a.running, func(r *request) bool { return r == req })
+	if req.est != nil {
+		used = max(used, int(*req.est)) // the router billed what was relayed to it
+	}
+	bill := a.book.Finish(req.attempt, Bill{Amount: Tokens(used), Target: "m", UnixMilli: w.now.UnixMilli()})
+	a.ended[req.attempt] = bill
+	var ran Tokens
+	if bill != nil {
+		ran = bill.Amount
+	}
+	req.ran = &ran
+	w.send(a.name, req.router.name, func() { w.settle(req, bill) })
+}
+
+// settle ends a request at its router.
+func (w *world) settle(req *request, bill *Bill) {
+	r := req.router
+	if req.done || !r.alive || !slices.Contains(r.open, req) {
+		return
+	}
+	req.done = true
+	r.open = slices.DeleteFunc(r.open, func(o *request) bool { return o == req })
+	if bill == nil {
+		_ = r.wallet.Release(w.now, req.hold)
+		return
+	}
+	err := r.wallet.Settle(w.now, req.hold, *bill, req.agent.name)
+	if err == nil && bill.Estimated {
+		req.est = &bill.Amount
+	}
+	if w.bug.settleTwice {
+		if hold, _, ok := r.wallet.Reserve(w.now, req.budget, bill.Amount); ok {
+			_ = r.wallet.Settle(w.now, hold, *bill, req.agent.name)
+		}
+	}
+}
+
+// resolveRequests asks agents what became of attempts. With giveUp, attempts at
+// agents that cannot be reached are billed by the router.
+func (w *world) resolveRequests(r *routerProc, giveUp bool) {
+	if !r.alive {
+		return
+	}
+	for _, req := range slices.Clone(r.open) {
+		a := req.agent
+		bill, ended := a.ended[req.attempt]
+		reachable := a.alive && w.linked(r.name, a.name)
+		switch {
+		case reachable && a.inc == req.agentRun && ended:
+			w.settle(req, bill)
+		case reachable && a.inc == req.agentRun && a.book.Running(req.attempt):
+		case reachable && a.inc == req.agentRun:
+			a.book.Tombstone(req.attempt)
+			w.settle(req, nil)
+		case reachable || giveUp:
+			relayed := req.hold.Amount
+			if req.ran != nil {
+				relayed = *req.ran
+			} else if !req.admitted {
+				relayed = 0
+			}
+			amount := Tokens(w.pick(int(relayed) + 1))
+			w.settle(req, &Bill{Request: req.id, Attempt: req.attempt, Amount: amount, Estimated: true})
+		}
+	}
+}
+
+// exchange sends a router's report to a process that it takes for the holder.
+func (w *world) exchange(r *routerProc) {
+	var near []*holderProc
+	for _, p := range w.holders {
+		if p.region == r.region {
+			near = append(near, p)
+		}
+	}
+	p, ok := choose(w, near)
+	if w.pick(2) == 0 || w.healing {
+		if latest := w.newest(r.region); latest != nil {
+			p, ok = latest, true
+		}
+	}
+	if !ok || !r.alive {
+		return
+	}
+	account := Account{worldShard, r.region}
+	limits := map[ID]Tokens{}
+	for id, b := range r.wallet.budgets {
+		if b.lot != nil {
+			limits[id] = b.lot.limit
+		}
+	}
+	if w.pick(4) == 0 && !w.healing {
+		r.wallet.ObserveEpoch(account, p.h.Epoch())
+	}
+	wallet, inc := r.wallet, r.inc
+	req, ok := wallet.BuildExchange(w.now, account)
+	if !ok {
+		return
+	}
+	if w.bug.reuseReleased {
+		for id, limit := range limits {
+			wallet.budgets[id].lot.limit = limit
+		}
+	}
+	w.send(r.name, p.router.name, func() {
+		if !w.alive(p) {
+			return
+		}
+		if w.bug.forgetSettled {
+			for _, l := range p.h.lots {
+				l.settled = nil
+			}
+		}
+		reply := p.h.Exchange(w.now, req)
+		w.send(p.router.name, r.name, func() {
+			if r.alive && r.inc == inc {
+				if a := wallet.accounts[account]; w.bug.ignoreEpoch && a.epoch > reply.Epoch {
+					a.epoch = reply.Epoch
+				}
+				result := wallet.ApplyReply(w.now, account, reply.Seq, &reply, nil)
+				w.ack(r.name, result.Durable, wallet.MarkAgentAcked)
+			}
+		})
+	})
+}
+
+// abandon gives up a router's exchange in flight, whose messages may still arrive.
+func (w *world) abandon(r *routerProc) {
+	account := Account{worldShard, r.region}
+	if a := r.wallet.accounts[account]; r.alive && a != nil && a.inFlight != nil {
+		r.wallet.ApplyReply(w.now, account, a.inFlight.seq, nil, ErrLotGone)
+	}
+}
+
+func (w *world) sendAcks(r *routerProc) {
+	if !r.alive {
+		return
+	}
+	acks := r.wallet.PendingAcks()
+	for _, attempts := range acks {
+		slices.SortFunc(attempts, func(a, b uuid.UUID) int { return slices.Compare(a[:], b[:]) })
+	}
+	w.ack(r.name, acks, r.wallet.MarkAgentAcked)
+}
+
+// recover advances the fences and the reconciliation of a holder. With suspect,
+// it may give up a router that is alive.
+func (w *world) recover(p *holderProc, suspect bool) {
+	for _, r := range p.h.Routers() {
+		gone := !slices.ContainsFunc(w.routers, func(o *routerProc) bool { return o.inc == r && o.alive })
+		if gone || suspect && w.pick(4) == 0 {
+			p.h.BeginFence(r)
+		}
+	}
+	account := Account{worldShard, p.region}
+	if p.h.Reconciling() {
+		for _, r := range w.routers {
+			inc := r.inc
+			if r.region != p.region {
+				continue
+			}
+			w.send(p.router.name, r.name, func() {
+				if !r.alive || r.inc != inc {
+					return
+				}
+				if lots, _, ok := r.wallet.Lots(w.now, account, p.h.Epoch()); ok {
+					w.send(r.name, p.router.name, func() { p.h.ApplyRouterLots(w.now, inc, lots) })
+				}
+			})
+		}
+	}
+	orders := p.h.Fences()
+	if !p.h.Reconciling() && len(orders) == 0 {
+		return
+	}
+	if len(orders) == 0 {
+		orders = []FenceOrder{{}}
+	}
+	for _, order := range orders {
+		for _, a := range w.agents {
+			if a.region == p.region {
+				w.collect(p, a, order)
+			}
+		}
+	}
+	w.finishRecovery(p)
+}
+
+// collect asks one agent, with the fence of one router if there is one.
+func (w *world) collect(p *holderProc, a *agentProc, order FenceOrder) {
+	account := Account{worldShard, p.region}
+	inc := a.inc
+	w.send(p.router.name, a.name, func() {
+		if !a.alive || a.inc != inc {
+			return
+		}
+		if order.Router.Name != "" && !w.bug.skipFence {
+			a.book.Fence(account, order.Router, order.Through)
+		}
+		if !w.bug.skipEpoch {
+			a.book.SetEpoch(account, p.h.Epoch())
+		}
+		c := Collected{Agent: inc, AccountEpoch: p.h.Epoch(), FencedThrough: order.Through}
+		c.Bills, c.Routers, c.Running = a.book.Collect(account)
+		if order.Router.Name != "" {
+			c.Fenced = &order.Router
+		}
+		w.send(a.name, p.router.name, func() {
+			if w.alive(p) {
+				w.ack(p.router.name, p.h.ApplyCollected(w.now, c), nil)
+			}
+		})
+	})
+}
+
+// finishRecovery tries to end the fences and the reconciliation.
+func (w *world) finishRecovery(p *holderProc) {
+	var present []Incarnation
+	var lost []LostAgent
+	for _, a := range w.agents {
+		if a.region == p.region && (a.alive || !slices.ContainsFunc(w.dead, func(d LostAgent) bool { return d.Agent == a.inc })) {
+			present = append(present, a.inc)
+		}
+	}
+	for _, d := range w.dead {
+		if d.Agent.Name[:4] == p.region && !w.bug.ignoreLostMemory {
+			lost = append(lost, d)
+		}
+	}
+	for _, order := range p.h.Fences() {
+		if err := p.h.FinishFence(w.now, order.Router, present, lost); err == nil && w.bug.grantBeforeFlush {
+			w.thawAll(p)
+		}
+	}
+	marks := slices.Clone(p.h.former)
+	if p.h.Reconciling() && p.h.FinishReconcile(w.now, present, lost, false) == nil {
+		if w.bug.grantBeforeFlush {
+			w.thawAll(p)
+		}
+		if w.bug.keepOldMarks {
+			p.h.recon, p.h.former = &reconState{running: map[Incarnation][]RunningAttempt{}}, marks
+		}
+	}
+}
+
+func (w *world) thawAll(p *holderProc) {
+	for _, b := range p.h.budgets {
+		b.thaw = 0
+	}
+}
+
+// askReturns asks the other region for what this one misses.
+func (w *world) askReturns(p *holderProc) {
+	for _, u := range p.h.Unmet(w.now) {
+		for _, region := range u.Regions {
+			other := w.newest(region)
+			if other == nil || !w.linked(p.router.name, other.router.name) {
+				p.h.ReturnAnswered(w.now, u.Budget, region, false, 0)
+				continue
+			}
+			can := other.h.ReturnRequest(w.now, u.Budget, u.Amount)
+			p.h.ReturnAnswered(w.now, u.Budget, region, true, can)
+		}
+	}
+}
--- a/internal/budget/wallet.go
+++ b/internal/budget/wallet.go
@@ -42,6 +42,12 @@
 	epoch uint64
 }
 
+// unackedBill is a durable bill of which an agent may still have a copy.
+type unackedBill struct {
+	agent string
+	lot   *walletLot
+}
+
 // walletLot is a lot at its router.
 type walletLot struct {
 	id            LotID
@@ -54,7 +60,7 @@
 	holds         map[Slot]Tokens
 	bills         map[Slot]*walletBill
 	unused        []Slot // not reported with success
-	unacked       map[uuid.UUID]string
+	unacked       int    // durable bills that an agent may still have
 	renewedAt     time.Time
 	epoch         uint64 // of the holder that confirmed the lot last
 	lastUse       time.Time
@@ -103,7 +109,7 @@
 	budgets  map[ID]*walletBudget
 	accounts map[Account]*walletAccount
 	lots     map[LotID]*walletLot
-	unacked  map[uuid.UUID]*walletLot
+	unacked  map[uuid.UUID]unackedBill
 	counters WalletCounters
 }
 
@@ -113,7 +119,7 @@
 	return &Wallet{
 		self: self, region: region, shards: shards, policy: policy,
 		budgets: map[ID]*walletBudget{}, accounts: map[Account]*walletAccount{},
-		lots: map[LotID]*walletLot{}, unacked: map[uuid.UUID]*walletLot{},
+		lots: map[LotID]*walletLot{}, unacked: map[uuid.UUID]unackedBill{},
 	}
 }
 
@@ -299,8 +305,8 @@
 // bills, or has lost its memory of them.
 func (w *Wallet) MarkAgentAcked(attempts []uuid.UUID) {
 	for _, id := range attempts {
-		if l := w.unacked[id]; l != nil {
-			delete(l.unacked, id)
+		if u, ok := w.unacked[id]; ok {
+			u.lot.unacked--
 			delete(w.unacked, id)
 		}
 	}
@@ -311,8 +317,8 @@
 // MarkAgentAcked for an agent that is gone.
 func (w *Wallet) PendingAcks() AckList {
 	var acks AckList
-	for id, l := range w.unacked {
-		acks = acks.add(l.unacked[id], id)
+	for id, u := range w.unacked {
+		acks = acks.add(u.agent, id)
 	}
 	return acks
 }
@@ -321,11 +327,11 @@
 // durable and acknowledged. A drain waits for it.
 func (w *Wallet) Idle() bool {
 	for _, l := range w.lots {
-		if l.reserved > 0 || len(l.holds)+len(l.bills)+len(l.unacked) > 0 {
+		if len(l.holds)+len(l.bills) > 0 {
 			return false
 		}
 	}
-	return true
+	return len(w.unacked) == 0
 }
 
 // LotBalance is the state of a budget's lot at its router, in tokens.
@@ -345,9 +351,6 @@
 	if len(l.holds)+len(l.bills) > 0 {
 		w.counters.DroppedLots++
 	}
-	for id := range l.unacked {
-		delete(w.unacked, id)
-	}
 	delete(w.lots, l.id)
 	l.budget.lot = nil
 }
--- a/internal/budget/walletexchange.go
+++ b/internal/budget/walletexchange.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/google/uuid"
 )
 
 // sentExchange is an exchange in flight.
@@ -38,7 +36,7 @@
 // closable reports whether a lot can be given back for good.
 func (b *walletBudget) closable(now time.Time) bool {
 	l := b.lot
-	return b.waiting == 0 && len(l.holds)+len(l.bills)+len(l.unused)+len(l.unacked) == 0 &&
+	return b.waiting == 0 && len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0 &&
 		now.Sub(l.lastUse) >= IdleAfter
 }
 
@@ -96,7 +94,7 @@
 	if len(l.bills) > 0 {
 		want(a.lastSent.Add(pendingInterval))
 	}
-	if len(l.holds)+len(l.bills)+len(l.unused)+len(l.unacked) == 0 {
+	if len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0 {
 		want(l.lastUse.Add(IdleAfter))
 	}
 	want(a.lastSent.Add(IdleAfter))
@@ -313,7 +311,7 @@
 
 func (w *Wallet) addLot(now time.Time, b *walletBudget, id LotID) *walletLot {
 	l := &walletLot{id: id, budget: b, lastUse: now, holds: map[Slot]Tokens{},
-		bills: map[Slot]*walletBill{}, unacked: map[uuid.UUID]string{}}
+		bills: map[Slot]*walletBill{}}
 	b.lot = l
 	w.lots[id] = l
 	return l
@@ -347,8 +345,8 @@
 	if bill.agent == "" {
 		return
 	}
-	l.unacked[bill.bill.Attempt] = bill.agent
-	w.unacked[bill.bill.Attempt] = l
+	l.unacked++
+	w.unacked[bill.bill.Attempt] = unackedBill{bill.agent, l}
 	result.Durable = result.Durable.add(bill.agent, bill.bill.Attempt)
 }
 
