--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -52,6 +52,7 @@
 	book.SetClaimEpoch(args.Account, args.ClaimEpoch)
 	reply.Agent = a.opts.Identity
 	reply.UptimeMillis = time.Since(a.started).Milliseconds()
+	reply.AccountEpoch = book.Epoch(args.Account)
 	reply.Bills, reply.Routers, reply.Running = book.Collect(args.Account)
 	if args.WithClaims {
 		reply.Claims = a.claimsLocked(args.Account)
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -1,8 +1,11 @@
 package budget
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -98,6 +101,7 @@
 	held        Tokens // returns of flushes whose outcome is open
 	lots        int    // open, orphan and retired
 	pending     int    // bills that are not durable
+	listed      bool   // the treasury has an entry for this region
 	demand      float64
 	lastUse     time.Time
 	unmet       Tokens
@@ -241,8 +245,8 @@
 // Budgets returns the number of active budgets and of open lots.
 func (h *Holder) Budgets() (active, lots int) { return len(h.budgets), len(h.lots) }
 
-// Routers returns the router incarnations that have lots of the account. The
-// caller watches them and calls BeginFence for one that is dead.
+// Routers returns the router incarnations that have lots of the account, by
+// name and boot. The caller watches them and calls BeginFence for one that is dead.
 func (h *Holder) Routers() []Incarnation {
 	var out []Incarnation
 	for r, rs := range h.routers {
@@ -250,9 +254,17 @@
 			out = append(out, r)
 		}
 	}
+	slices.SortFunc(out, compareIncarnations)
 	return out
 }
 
+func compareIncarnations(a, b Incarnation) int {
+	if c := strings.Compare(a.Name, b.Name); c != 0 {
+		return c
+	}
+	return bytes.Compare(a.Boot[:], b.Boot[:])
+}
+
 func (rs *routerState) openLots() int {
 	n := 0
 	for _, l := range rs.lots {
--- a/internal/holder/client.go
+++ b/internal/holder/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
@@ -38,6 +39,10 @@
 	return out
 }
 
+func deleteName(names []string, name string) []string {
+	return slices.DeleteFunc(names, func(n string) bool { return n == name })
+}
+
 // Client reaches the holders of accounts for a router.
 type Client struct {
 	directory Directory
--- a/internal/holder/recover.go
+++ b/internal/holder/recover.go
@@ -61,7 +61,7 @@
 	round := m.collect(ctx, a, &args)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	err := a.core.FinishFence(time.Now(), order.Router, round.names, round.lost)
+	err := a.core.FinishFence(time.Now(), order.Router, round.agents, round.lost)
 	if err == nil {
 		m.log.Info("lots of a dead router settled", "router", order.Router.Name,
 			"shard", a.key.Shard, "region", a.key.Region)
@@ -112,13 +112,12 @@
 	if !a.core.Reconciling() {
 		return
 	}
-	names, lost := round.names, round.lostSince(a.lastFlush)
+	lost := round.lostSince(a.lastFlush)
 	if !a.lastFlush.IsZero() && m.started.After(a.lastFlush.Add(-flushClockTolerance)) {
 		// Agents that vanished before this process started are not known here.
-		names = append(names, "unknown")
-		lost = append(lost, budget.LostAgent{Name: "unknown"})
+		lost = append(lost, budget.LostAgent{Agent: budget.Incarnation{Name: "unknown"}})
 	}
-	if err := a.core.FinishReconcile(time.Now(), names, lost, false); err == nil {
+	if err := a.core.FinishReconcile(time.Now(), round.agents, lost, false); err == nil {
 		m.log.Info("account reconciled", "shard", a.key.Shard, "region", a.key.Region, "epoch", epoch)
 	}
 }
@@ -148,16 +147,15 @@
 // collectRound is the result of asking all agents once.
 type collectRound struct {
 	mu sync.Mutex
-	// names lists all agents whose records matter: each agent, and for each an
-	// earlier run with a name of its own, whose memory is gone.
-	names  []string
+	// agents lists the present run of each agent, without its boot if it did not
+	// answer.
+	agents []budget.Incarnation
+	// lost lists runs whose memory is gone. The run before the present one is
+	// named without a boot.
 	lost   []budget.LostAgent
 	silent []string // did not answer
 }
 
-// earlierRun names the runs of an agent before the one that answered.
-func earlierRun(name string) string { return name + " (earlier run)" }
-
 // lostSince returns the lost agents whose memory was lost after the account's
 // last flush. Bills from before are durable.
 func (r *collectRound) lostSince(flush time.Time) []budget.LostAgent {
@@ -165,18 +163,6 @@
 	for _, agent := range r.lost {
 		if agent.Before.IsZero() || flush.IsZero() || agent.Before.After(flush.Add(-flushClockTolerance)) {
 			out = append(out, agent)
-			continue
-		}
-		r.names = deleteName(r.names, agent.Name)
-	}
-	return out
-}
-
-func deleteName(names []string, name string) []string {
-	out := names[:0]
-	for _, n := range names {
-		if n != name {
-			out = append(out, n)
 		}
 	}
 	return out
@@ -203,17 +189,17 @@
 	who, err := m.o.Caller.Call(callCtx, life.peer.Address, "Agent.Collect", args, &reply)
 	ok := err == nil && who.Name == name
 	gone := m.live.agentAnswered(name, ok)
+	unnamed := budget.Incarnation{Name: name}
 	round.mu.Lock()
-	round.names = append(round.names, name)
 	switch {
 	case ok:
-		// An earlier run of the agent may have had records of its own.
 		start := time.Now().Add(-time.Duration(reply.UptimeMillis) * time.Millisecond)
-		round.names = append(round.names, earlierRun(name))
-		round.lost = append(round.lost, budget.LostAgent{Name: earlierRun(name), Before: start})
+		round.agents = append(round.agents, reply.Agent)
+		round.lost = append(round.lost, budget.LostAgent{Agent: unnamed, Before: start})
 	case gone:
-		round.lost = append(round.lost, budget.LostAgent{Name: name, Before: life.lastListed})
+		round.lost = append(round.lost, budget.LostAgent{Agent: unnamed, Before: life.lastListed})
 	default:
+		round.agents = append(round.agents, unnamed)
 		round.silent = append(round.silent, name)
 	}
 	round.mu.Unlock()
@@ -225,7 +211,7 @@
 func (m *Manager) applyCollected(ctx context.Context, a *account, args *wire.CollectArgs, reply *wire.CollectReply) {
 	collected := budget.Collected{
 		Agent: reply.Agent, Bills: reply.Bills, Routers: reply.Routers, Running: reply.Running,
-		AccountEpoch: args.AccountEpoch, Fenced: args.FenceRouter, FencedThrough: args.FenceThrough,
+		AccountEpoch: reply.AccountEpoch, Fenced: args.FenceRouter, FencedThrough: args.FenceThrough,
 	}
 	now := time.Now()
 	a.mu.Lock()
