Test the distribution in virtual time and fix what the tests showed

Cause: with all relays out of contact the polls went round without a pause, because each change of relay transferred the host list again; a relay that had failed was not tried for up to 37 s after its return; a missed deletion became visible only at the next change; a lost watch was made again without reading. Change: the host list's version is kept per relay, relays that failed are tried again within seconds when no other is left, whole states are published at once, and a relay reads the store after a lost watch. The fault store delays each batch of a watch by the same time instead of one after the other.

--- a/devel/standin/faultstore/faultstore.go
+++ b/devel/standin/faultstore/faultstore.go
@@ -135,14 +135,39 @@
 	return !c.down && !c.silent, c.changed
 }
 
+// Timed is a batch of a watch and when the store made it.
+type Timed struct {
+	store.WatchBatch
+	made time.Time
+}
+
+// queuedBatches is how many batches of a watch can be under way at once.
+const queuedBatches = 1024
+
+// Queue takes the batches of a watch as they come, so that a delay adds to the
+// latency of each and does not add up. The channel is closed after in.
+func Queue(ctx context.Context, in <-chan store.WatchBatch) <-chan Timed {
+	out := make(chan Timed, queuedBatches)
+	go func() {
+		defer close(out)
+		for batch := range in {
+			select {
+			case out <- Timed{batch, time.Now()}:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return out
+}
+
 // Pass delays a watch's batch and holds it while watches are silent. It returns
 // false if ctx ended, or if the batch is a progress notice that would be stale
 // when the silence ends.
-func (c *Controls) Pass(ctx context.Context, batch store.WatchBatch) bool {
+func (c *Controls) Pass(ctx context.Context, batch Timed) bool {
 	c.mu.Lock()
 	delay := c.delay
 	c.mu.Unlock()
-	if sleep(ctx, delay) != nil {
+	if sleep(ctx, time.Until(batch.made.Add(delay))) != nil {
 		return false
 	}
 	for {
--- a/devel/standin/faultstore/store.go
+++ b/devel/standin/faultstore/store.go
@@ -87,12 +87,12 @@
 	go func() {
 		defer close(out)
 		defer cancel()
-		for batch := range in {
+		for batch := range Queue(ctx, in) {
 			if !s.Pass(ctx, batch) {
 				continue
 			}
 			select {
-			case out <- batch:
+			case out <- batch.WatchBatch:
 			case <-ctx.Done():
 			}
 		}
--- a/devel/standin/storeserver/watch.go
+++ b/devel/standin/storeserver/watch.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/monsoonworks/monsoonworks/devel/standin/faultstore"
 	"github.com/monsoonworks/monsoonworks/internal/store"
 )
 
@@ -74,13 +75,13 @@
 	w.Header().Set("Content-Type", "application/json")
 	ws := watchStream{encoder: json.NewEncoder(w), flusher: http.NewResponseController(w)}
 	if ws.send(watchResponse{Header: s.header(), Created: true}) == nil {
-		s.streamWatch(ctx, ws, batches, req.Create.ProgressNotify)
+		s.streamWatch(ctx, ws, faultstore.Queue(ctx, batches), req.Create.ProgressNotify)
 	}
 	// An aborted connection is what a client sees of a broken watch.
 	panic(http.ErrAbortHandler)
 }
 
-func (s *Server) streamWatch(ctx context.Context, ws watchStream, batches <-chan store.WatchBatch, progress bool) {
+func (s *Server) streamWatch(ctx context.Context, ws watchStream, batches <-chan faultstore.Timed, progress bool) {
 	cut, release := s.register()
 	defer release()
 	for {
@@ -95,7 +96,7 @@
 			if !s.Controls.Pass(ctx, batch) {
 				continue
 			}
-			if ws.send(s.toWatchResponse(batch)) != nil || batch.Err != nil {
+			if ws.send(s.toWatchResponse(batch.WatchBatch)) != nil || batch.Err != nil {
 				return
 			}
 		case <-cut:
--- a/internal/store/etcdgw/watch.go
+++ b/internal/store/etcdgw/watch.go
@@ -12,10 +12,12 @@
 	"github.com/monsoonworks/monsoonworks/internal/store"
 )
 
-// Pauses between attempts to make a broken watch again.
+// Pauses between attempts to make a broken watch again. Together with the
+// timeout of a connection they stay below the 5 s in which a change must be in
+// force after contact returns.
 const (
 	minWatchPause = 100 * time.Millisecond
-	maxWatchPause = 2 * time.Second
+	maxWatchPause = time.Second
 )
 
 // Watch implements store.Watcher. A watch that breaks or falls silent is made
--- a/internal/syncer/follower.go
+++ b/internal/syncer/follower.go
@@ -15,8 +15,8 @@
 	// two, a relay that dies or falls behind delays nothing.
 	followerSlots = 2
 	// dialTimeout bounds the connection to a relay.
-	dialTimeout = 2 * time.Second
-	// Pauses before a relay that failed is tried again.
+	dialTimeout = time.Second
+	// Pauses before a relay that failed is tried again while there are others.
 	minFailurePause = 2 * time.Second
 	maxFailurePause = 30 * time.Second
 	// stalePause is how long a relay without contact with the store is put after
@@ -24,7 +24,7 @@
 	// paid by volume and an outage of the store can last.
 	stalePause    = 10 * time.Second
 	farStalePause = 5 * time.Minute
-	// quickPause follows an answer that came at once and brought nothing, so
+	// quickPause follows an answer that came at once and brought no entries, so
 	// that a faulty relay cannot cause a busy loop.
 	quickPause = 200 * time.Millisecond
 	// idlePause is how often a slot without a relay to poll looks again.
@@ -37,6 +37,11 @@
 	fallbackDelay    = 300 * time.Millisecond
 	minFallbackPause = 2 * time.Second
 	maxFallbackPause = time.Minute
+	// aloneFallbackPause bounds the pause of a node that no relay answers, so that
+	// it has the newest version within 5 s after the store is in reach again.
+	aloneFallbackPause = 3 * time.Second
+	// aloneAfter is how long no relay may have answered for that.
+	aloneAfter = 10 * time.Second
 	// keptPeers is how many relays beyond the present ones a node remembers.
 	keptPeers = 64
 )
@@ -50,6 +55,8 @@
 	// current is set if the last poll found the relay in contact with the store.
 	current bool
 	far     bool // in another region
+	// hostsVersion is the version of the host list that the relay told last.
+	hostsVersion uint64
 }
 
 // peers is the table of relays, and of the polls of the two slots.
@@ -61,6 +68,7 @@
 	inUse    [followerSlots]string
 	polledAt [followerSlots]time.Time
 	nextFull time.Time
+	answerAt time.Time // last answer of any relay
 }
 
 func (p *peers) get(address string) *peer {
@@ -85,11 +93,17 @@
 	now := time.Now()
 	p.inUse[slot] = ""
 	p.prune(candidates)
-	var stale string
+	var stale, failed string
 	for _, h := range candidates {
 		known := p.get(h.Address)
 		known.far = h.Region != p.region
-		if p.used(h.Address) || now.Before(known.failedUntil) {
+		if p.used(h.Address) {
+			continue
+		}
+		if now.Before(known.failedUntil) {
+			if !known.far && (failed == "" || known.lastPolled.Before(p.get(failed).lastPolled)) {
+				failed = h.Address
+			}
 			continue
 		}
 		if !now.Before(known.staleUntil) {
@@ -105,6 +119,9 @@
 			hold = PollHold
 		}
 	}
+	if address == "" && failed != "" && now.Sub(p.get(failed).lastPolled) > minFailurePause/2 {
+		address = failed // there is no other left
+	}
 	if address == "" {
 		return "", 0, false
 	}
@@ -151,6 +168,7 @@
 	defer p.mu.Unlock()
 	known := p.get(address)
 	known.failures, known.failedUntil, known.current = 0, time.Time{}, current
+	p.answerAt = time.Now()
 	known.staleUntil = time.Time{}
 	switch {
 	case current:
@@ -173,6 +191,31 @@
 	return false
 }
 
+// hostsVersion returns the version of the host list that a relay told last. For a
+// relay that told none it is the node's own, so that a change of relay does not
+// transfer the same list again.
+func (p *peers) hostsVersion(address string, own uint64) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if told := p.get(address).hostsVersion; told != 0 {
+		return told
+	}
+	return own
+}
+
+func (p *peers) setHostsVersion(address string, version uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.get(address).hostsVersion = version
+}
+
+// alone reports whether no relay has answered for some time.
+func (p *peers) alone() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.answerAt) > aloneAfter
+}
+
 // fullAllowed limits the requests for the whole state.
 func (p *peers) fullAllowed() bool {
 	p.mu.Lock()
@@ -191,50 +234,39 @@
 	p.inUse[slot] = ""
 }
 
-// slot is the state of one of the polls. Only its goroutine uses it.
-type slot struct {
-	address string
-	hosts   relayHosts // what address has told about the host list
-}
-
 // runSlot polls one relay after the other while this node does not hear from the
 // store itself.
-func (s *Syncer) runSlot(ctx context.Context, index int) error {
-	var current slot
+func (s *Syncer) runSlot(ctx context.Context, slot int) error {
 	for ctx.Err() == nil {
 		if s.isRelay() && s.contactState() {
-			s.peers.release(index)
+			s.peers.release(slot)
 			pause(ctx, idlePause)
 			continue
 		}
 		s.mu.RLock()
 		candidates := s.plan.candidates
 		s.mu.RUnlock()
-		address, hold, ok := s.peers.pick(index, candidates)
+		address, hold, ok := s.peers.pick(slot, candidates)
 		if !ok {
 			pause(ctx, idlePause)
 			continue
 		}
-		if address != current.address {
-			current = slot{address: address}
-		}
-		s.pollSlot(ctx, &current, hold)
+		s.pollSlot(ctx, address, hold)
 	}
 	return nil
 }
 
-func (s *Syncer) pollSlot(ctx context.Context, current *slot, hold time.Duration) {
-	began := time.Now()
-	reply, err := s.poll(ctx, current, hold)
+func (s *Syncer) pollSlot(ctx context.Context, address string, hold time.Duration) {
+	began, before := time.Now(), s.Status().Revision
+	reply, err := s.poll(ctx, address, hold)
 	if err != nil {
 		if ctx.Err() == nil {
-			s.peers.failed(current.address)
+			s.peers.failed(address)
 		}
 		return
 	}
-	s.peers.answered(current.address, inContact(reply))
-	empty := len(reply.Entries) == 0 && len(reply.Hosts) == 0 && !reply.More
-	if empty && hold > 0 && time.Since(began) < quickPause {
+	s.peers.answered(address, inContact(reply))
+	if hold > 0 && time.Since(began) < quickPause && s.Status().Revision == before {
 		pause(ctx, quickPause)
 	}
 }
@@ -244,20 +276,21 @@
 }
 
 // poll asks one relay once and applies its answer.
-func (s *Syncer) poll(ctx context.Context, current *slot, hold time.Duration) (*wire.SyncPollReply, error) {
+func (s *Syncer) poll(ctx context.Context, address string, hold time.Duration) (*wire.SyncPollReply, error) {
 	s.counters.polls.Inc(1)
 	args := &wire.SyncPollArgs{Interests: s.opts.Interests, HoldMillis: hold.Milliseconds()}
-	args.HostsVersion = current.hosts.version
+	known := s.Hosts()
+	args.HostsVersion = s.peers.hostsVersion(address, known.Version)
 	if args.After = s.Status().Revision; s.wantsFull() && s.peers.fullAllowed() {
 		args.After = -1
 	}
 	var reply wire.SyncPollReply
-	if err := s.call(ctx, current.address, args, &reply, hold); err != nil {
+	if err := s.call(ctx, address, args, &reply, hold); err != nil {
 		s.counters.pollFailures.Inc(1)
-		current.hosts = relayHosts{}
+		s.peers.setHostsVersion(address, 0)
 		return nil, err
 	}
-	current.hosts = s.takeHosts(current.hosts, &reply, time.Now())
+	s.peers.setHostsVersion(address, s.takeHosts(known, args.HostsVersion, &reply, time.Now()))
 	s.takeEntries(args.After, &reply)
 	return &reply, nil
 }
@@ -281,9 +314,9 @@
 	defer s.mu.Unlock()
 	if reply.Full {
 		s.wantFull = s.wantFull && reply.Revision < s.table.revision
-		s.publish(s.table.applyFull(reply.Entries, reply.Revision))
+		s.publish(s.table.applyFull(reply.Entries, reply.Revision), true)
 	} else {
-		s.publish(s.table.applyDelta(reply.Entries, reply.Revision))
+		s.publish(s.table.applyDelta(reply.Entries, reply.Revision), false)
 		if after < reply.Horizon {
 			s.table.horizon = max(s.table.horizon, reply.Horizon)
 			differs := s.table.revision == reply.Revision && s.table.keySet(nil) != reply.KeySet
@@ -311,9 +344,8 @@
 	var wg sync.WaitGroup
 	for _, h := range candidates {
 		wg.Go(func() {
-			current := &slot{address: h.Address}
 			for ctx.Err() == nil {
-				reply, err := s.poll(ctx, current, 0)
+				reply, err := s.poll(ctx, h.Address, 0)
 				if err != nil || !reply.More {
 					return
 				}
@@ -338,7 +370,11 @@
 			continue
 		}
 		s.readDirectly(ctx)
-		next = time.Now().Add(wait)
+		limit := maxFallbackPause
+		if s.peers.alone() {
+			limit = aloneFallbackPause
+		}
+		next = time.Now().Add(min(wait, limit))
 		wait = jitter(min(2*wait, maxFallbackPause))
 	}
 	return nil
--- a/internal/syncer/hostlist.go
+++ b/internal/syncer/hostlist.go
@@ -94,29 +94,30 @@
 	reply.Hosts = hosts.ToWire(list.All())
 }
 
-// relayHosts is the host list as one relay has told it.
-type relayHosts struct {
-	version uint64 // by the relay; 0 asks for the whole list
-	list    *hosts.List
-}
-
-// takeHosts applies the part of an answer that concerns the host list and
-// returns what the relay has told so far.
-func (s *Syncer) takeHosts(base relayHosts, reply *wire.SyncPollReply, received time.Time) relayHosts {
+// takeHosts applies the part of an answer that concerns the host list. known is
+// the node's list when it asked, and asked the version that it asked with. It
+// returns the version that the relay has told, 0 to ask for the whole list.
+func (s *Syncer) takeHosts(known *hosts.List, asked uint64, reply *wire.SyncPollReply, received time.Time) uint64 {
+	list := known
 	switch {
 	case reply.HostsVersion == 0:
-		return relayHosts{}
-	case base.version == reply.HostsVersion:
-	case reply.HostsDelta && base.list != nil:
-		base = relayHosts{reply.HostsVersion, base.list.With(hosts.FromWire(reply.Hosts), reply.HostsGone)}
-		if base.list.Version != base.version {
-			return relayHosts{}
+		return 0
+	case reply.HostsVersion == asked && len(reply.Hosts) == 0 && len(reply.HostsGone) == 0:
+		if known.Version != asked {
+			return asked // an older list than the node's, told before
+		}
+	case reply.HostsDelta:
+		if known.Version != asked {
+			return 0
+		}
+		if list = known.With(hosts.FromWire(reply.Hosts), reply.HostsGone); list.Version != reply.HostsVersion {
+			return 0
 		}
 	default:
-		base = relayHosts{reply.HostsVersion, hosts.NewList(hosts.FromWire(reply.Hosts))}
+		list = hosts.NewList(hosts.FromWire(reply.Hosts))
 	}
 	if reply.HostsAgeMillis >= 0 {
-		s.offerHosts(base.list, received.Add(-time.Duration(reply.HostsAgeMillis)*time.Millisecond))
+		s.offerHosts(list, received.Add(-time.Duration(reply.HostsAgeMillis)*time.Millisecond))
 	}
-	return base
+	return reply.HostsVersion
 }
--- a/internal/syncer/relay.go
+++ b/internal/syncer/relay.go
@@ -151,7 +151,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publish(s.table.applyFull(entries, read.Revision))
+	s.publish(s.table.applyFull(entries, read.Revision), true)
 	s.lastList, s.wantFull = time.Now(), false
 	s.touchStore()
 	return nil
@@ -178,8 +178,11 @@
 			reread = false
 		}
 		err := s.watch(ctx)
-		reread = errors.Is(err, store.ErrCompacted)
-		if err != nil && ctx.Err() == nil {
+		// After a lost watch the next one may be lost as well, and a read at least
+		// brings what was missed.
+		lost := errors.Is(err, errWatchLost)
+		reread = lost || errors.Is(err, store.ErrCompacted)
+		if err != nil && !lost && ctx.Err() == nil {
 			s.log.Warn("watch ended", "error", err)
 			pause(ctx, jitter(time.Second))
 		}
@@ -201,6 +204,8 @@
 	check := time.NewTicker(watchCheckInterval)
 	defer check.Stop()
 	last := time.Now()
+	missed := make(chan bool, 1)
+	checking := false
 	for {
 		select {
 		case batch, open := <-batches:
@@ -209,12 +214,21 @@
 			}
 			last = time.Now()
 			s.takeBatch(batch)
+		case lost := <-missed:
+			if checking = false; lost {
+				return errWatchLost
+			}
 		case <-check.C:
-			if !s.isRelay() {
+			quiet := time.Since(last)
+			switch {
+			case !s.isRelay():
 				return nil
-			}
-			if quiet := time.Since(last); quiet > watchRenewal || (quiet > watchQuiet && s.missedHead(ctx)) {
+			case quiet > watchRenewal:
 				return errWatchLost
+			case quiet > watchQuiet && !checking:
+				// In the background, because batches must not wait for a slow read.
+				checking = true
+				go func() { missed <- s.missedHead(ctx) }()
 			}
 		}
 	}
@@ -227,7 +241,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publish(s.table.applyDelta(entries, batch.Revision))
+	s.publish(s.table.applyDelta(entries, batch.Revision), false)
 	s.touchStore()
 }
 
--- a/internal/syncer/view.go
+++ b/internal/syncer/view.go
@@ -13,21 +13,24 @@
 // Configuration entries become visible only with the head that belongs to them.
 // The head is written by every change, so once the head at some revision is
 // known, all entries up to it are; before, a part of a change could be visible.
-func (s *Syncer) publish(events []store.Event) {
+// whole is set for events that lead to the whole state at one revision; they
+// need no head, because they can bring a deletion that was missed when the head
+// came.
+func (s *Syncer) publish(events []store.Event, whole bool) {
 	if len(events) == 0 {
 		return
 	}
-	headChanged := false
+	complete := false
 	for _, e := range events {
 		switch {
 		case strings.HasPrefix(e.Key, config.Prefix):
 			s.pending = append(s.pending, e)
-			headChanged = headChanged || e.Key == config.HeadKey
+			complete = complete || whole || e.Key == config.HeadKey
 		case strings.HasPrefix(e.Key, config.HolderPrefix):
 			s.publishHolder(e)
 		}
 	}
-	if headChanged {
+	if complete {
 		s.publishConfig()
 	}
 	s.notify()
