--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -295,7 +295,7 @@
 func (c *Controller) start(ws *workspace, now time.Time) {
 	c.all.start(now)
 	ws.start(now)
-	c.stats.running.Update(int64(c.all.running))
+	c.stats.running.Update(int64(c.all.running()))
 }
 
 // release ends a request that started at the given time.
@@ -305,6 +305,6 @@
 	defer c.mu.Unlock()
 	c.all.end(started, now)
 	ws.end(started, now)
-	c.stats.running.Update(int64(c.all.running))
+	c.stats.running.Update(int64(c.all.running()))
 	c.grant(now)
 }
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -1,39 +1,47 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // holdWeight is the weight of the newest value in the average of how long
 // requests run; about the last ten requests count.
 const holdWeight = 0.1
 
-// load counts the requests in progress under one limit and estimates when one
-// of them ends. A limit of 0 means none. It is guarded by the controller's
-// mutex.
+// overduePart is the part of the average that a request is expected to run on
+// if it has run longer than the average already. How long is not known; a small
+// value lets others wait a little rather than be refused at once.
+const overduePart = 4
+
+// load counts the requests in progress under one limit and estimates when they
+// end. A limit of 0 means none. It is guarded by the controller's mutex.
 type load struct {
-	limit   int
-	running int
+	limit int
+	// starts holds when the requests in progress started, oldest first.
+	starts []time.Time
 	// hold is the average time that requests ran, 0 if none has ended.
 	hold time.Duration
-	// ages is the sum over the running requests of the time from epoch to their
-	// start. It begins anew when nothing runs.
-	epoch time.Time
-	ages  time.Duration
 }
 
-func (l *load) hasRoom() bool { return l.limit <= 0 || l.running < l.limit }
+func (l *load) running() int { return len(l.starts) }
+
+func (l *load) hasRoom() bool { return l.limit <= 0 || len(l.starts) < l.limit }
 
 func (l *load) start(now time.Time) {
-	if l.running == 0 {
-		l.epoch, l.ages = now, 0
-	}
-	l.running++
-	l.ages += now.Sub(l.epoch)
+	l.starts = slices.Insert(l.starts, l.search(now), now)
+}
+
+// search returns the index of the first request that did not start before t.
+func (l *load) search(t time.Time) int {
+	i, _ := slices.BinarySearchFunc(l.starts, t, time.Time.Compare)
+	return i
 }
 
 // cancel forgets a request that did nothing.
 func (l *load) cancel(started time.Time) {
-	l.running--
-	l.ages -= started.Sub(l.epoch)
+	i := l.search(started)
+	l.starts = slices.Delete(l.starts, i, i+1)
 }
 
 func (l *load) end(started, now time.Time) {
@@ -46,30 +54,28 @@
 	l.hold += time.Duration(holdWeight * float64(ran-l.hold))
 }
 
-// meanAge returns how long the running requests have run on average.
-func (l *load) meanAge(now time.Time) time.Duration {
-	if l.running == 0 {
-		return 0
-	}
-	return now.Sub(l.epoch) - l.ages/time.Duration(l.running)
-}
-
-// startAfter estimates how long the request with ahead others before it waits.
+// startAfter estimates how long the request with ahead others before it waits,
+// if every request runs for the average time: it starts when the request ends
+// that started limit places before it.
 func (l *load) startAfter(ahead int, now time.Time) time.Duration {
-	free := l.limit - l.running
-	if l.limit <= 0 || ahead < free {
+	place := ahead - (l.limit - len(l.starts))
+	if l.limit <= 0 || place < 0 {
 		return 0
 	}
-	age := l.meanAge(now)
 	hold := l.hold
 	if hold == 0 {
 		hold = initialHold
 	}
-	// Requests that already run longer than the average make the average wrong.
-	hold = max(hold, age)
-	interval := hold / time.Duration(l.limit)
-	first := min(interval, max(hold-age, interval/4))
-	return first + time.Duration(ahead-free)*interval
+	rounds := 0
+	for place >= len(l.starts) {
+		place -= l.limit
+		rounds++
+	}
+	wait := time.Duration(rounds) * hold
+	if place >= 0 {
+		wait += max(hold-now.Sub(l.starts[place]), hold/overduePart)
+	}
+	return wait
 }
 
 // plan estimates the start times of queued requests taken in order.
