--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -203,16 +203,25 @@
 // tryQueue adds w to the queue, or refuses it if w or a request behind it would
 // start too late because of it.
 func (c *Controller) tryQueue(w *waiter, now time.Time) *verdict.Error {
-	full := c.queue.length(w.priority) >= c.opts.QueueLength || w.ws.queued >= max(1, c.opts.QueueLength/queueShare)
+	if c.queue.length(w.priority) >= c.opts.QueueLength || w.ws.queued >= max(1, c.opts.QueueLength/queueShare) {
+		// Under overload most requests end here, so it must cost little.
+		return tooLate(w, c.behindAll(w, now))
+	}
 	c.queue.insert(w)
 	start, inTime := c.simulate(w, now)
-	if inTime && !full {
+	if inTime {
 		return nil
 	}
 	c.queue.remove(w)
 	return tooLate(w, start)
 }
 
+// behindAll estimates when w, which is not in the queue, could start behind all
+// queued requests of its own and higher priorities.
+func (c *Controller) behindAll(w *waiter, now time.Time) time.Duration {
+	return max(c.all.startAfter(c.queue.from(w.priority), now), w.ws.startAfter(w.ws.queued, now))
+}
+
 // simulate estimates when w, which is in the queue, starts, as a time from now.
 // inTime is false if w would start too late, or a request behind it only
 // because of w.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -51,6 +51,17 @@
 // length returns the number of queued requests of a priority.
 func (q *queue) length(priority int8) int { return len(q.class(priority).waiters) }
 
+// from returns the number of queued requests of a priority and those above.
+func (q *queue) from(priority int8) int {
+	n := 0
+	for _, c := range q.classes {
+		if c.priority >= priority {
+			n += len(c.waiters)
+		}
+	}
+	return n
+}
+
 // insert puts w behind those with the same startBy.
 func (q *queue) insert(w *waiter) {
 	c := q.class(w.priority)
