--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -303,6 +303,7 @@
 
 		call = claimed("restarted")
 		w.agents["s1"].restart()
+		synctest.Wait() // the sessions of the old process are closed
 		out := w.routers[0].Do(t.Context(), call, &caller{})
 		c.Assert(codeOf(out), qt.Equals, verdict.CodeKeyUnresolved)
 		c.Assert(out.Verdict, qt.Equals, verdict.Unknown)
