--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,9 +127,9 @@
 
 // Do runs a call and passes its answer to sink while it arrives. It returns when
 // every reservation that it made is settled or released. After ctx has ended it
-// cancels the attempt in progress and waits a bounded time for its bill; an
-// attempt under an idempotency key runs on instead, because its caller can come
-// back for the answer.
+// cancels the attempt in progress and waits a bounded time for its bill. An
+// attempt under an idempotency key, or of a plain service's call that is not
+// idempotent, runs on until its end or the deadline instead.
 func (d *Dispatcher) Do(ctx context.Context, call *Call, sink Sink) Outcome {
 	r := newRun(ctx, d, call, sink)
 	defer r.close()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -250,6 +250,22 @@
 	}
 }
 
+// Guards against a bill of 0 for an order that goes on after its caller is gone.
+func TestServiceCallRunsOn(t *testing.T) {
+	bubble(t, 1, 1, func(t *testing.T, w *world) {
+		w.agents["s1"].script = script(behavior{pause: 3 * time.Second})
+		call := newCall()
+		call.Kind = wire.KindService
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		out := w.routers[0].Do(ctx, call, &caller{})
+		qt.Assert(t, codeOf(out), qt.Equals, verdict.CodeCanceled)
+		qt.Assert(t, out.Verdict, qt.Equals, verdict.Ran)
+		qt.Assert(t, out.Bill.Amount, qt.Equals, wholeBill)
+		qt.Assert(t, w.agents["s1"].cancels, qt.Equals, 0)
+	})
+}
+
 // Guards against a second run or bill when a caller repeats a keyed request
 // through another router, while it runs, afterwards, and after its first
 // connection was lost.
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/monsoonworks/monsoonworks/internal/route"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
 // Causes of the end of a call's context.
@@ -26,8 +27,8 @@
 	// ctx ends when the caller is gone or the deadline has passed.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// work ends when the attempt in progress is to be cancelled: with ctx, but
-	// for a call with a key at the deadline only.
+	// work ends when the attempt in progress is to be cancelled: with ctx, or at
+	// the deadline only for a call that runs on without its caller.
 	work     context.Context
 	stopWork context.CancelFunc
 
@@ -78,13 +79,20 @@
 	callerCtx, stopCaller := withDeadline(ctx, call.Deadline)
 	r.ctx, r.cancel = context.WithCancelCause(callerCtx)
 	r.work, r.stopWork = r.ctx, stopCaller
-	if call.Key != "" {
+	if call.runsOn() {
 		work, stop := withDeadline(context.WithoutCancel(ctx), call.Deadline)
 		r.work, r.stopWork = work, func() { stop(); stopCaller() }
 	}
 	return r
 }
 
+// runsOn reports whether an attempt goes on when the caller is gone. With a key
+// the caller can come back for the answer. Stopping a plain service's call that
+// must not be repeated would not undo it, and its bill is worth knowing.
+func (c *Call) runsOn() bool {
+	return c.Key != "" || c.Kind == wire.KindService && !c.Idempotent
+}
+
 func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	if deadline.IsZero() {
 		return context.WithCancel(ctx)
--- a/internal/dispatch/settle.go
+++ b/internal/dispatch/settle.go
@@ -69,8 +69,9 @@
 	res := r.answered(a)
 	res.Bill = nonZero(bill)
 	if a.done.Crashed {
-		r.reportCrash(a, true)
-		if !a.relayed && res.Bill == nil {
+		r.reportCrash(a, a.done.CrashID)
+		// Without the crash's id the retry would not need a permit.
+		if !a.relayed && res.Bill == nil && a.done.CrashID != uuid.Nil {
 			res.retry = retryRepeat
 		}
 	}
@@ -104,7 +105,7 @@
 	// A server of another region that cannot be reached is more likely cut off
 	// than dead.
 	if e == endRestarted || a.server.Region == r.d.Region {
-		r.reportCrash(a, false)
+		r.reportCrash(a, wire.CrashID(a.server.Name, a.boot, 0))
 	}
 	res := r.lost(a)
 	res.Bill = nonZero(bill)
@@ -127,19 +128,16 @@
 }
 
 // reportCrash makes the request a suspect. An attempt that was not accepted did
-// not reach the server.
-func (r *run) reportCrash(a *attempt, byAgent bool) {
-	if !a.accepted || r.call.Fingerprint == 0 {
+// not reach the server. The agent's id of a crash is used if it survived; an own
+// one would count the same crash twice.
+func (r *run) reportCrash(a *attempt, id uuid.UUID) {
+	if !a.accepted || r.call.Fingerprint == 0 || id == uuid.Nil {
 		return
 	}
-	report := &wire.SuspectReport{
-		Server: a.server.Name, ServerBoot: a.boot, Fingerprints: []uint64{r.call.Fingerprint},
-		CrashID: wire.CrashID(a.server.Name, a.boot, 0),
-	}
-	if byAgent && a.done.CrashID != uuid.Nil {
-		report.CrashID = a.done.CrashID
-	}
-	r.d.Suspects.Crashed(report)
+	r.d.Suspects.Crashed(&wire.SuspectReport{
+		Server: a.server.Name, ServerBoot: a.boot, CrashID: id,
+		Fingerprints: []uint64{r.call.Fingerprint},
+	})
 }
 
 // checkedBill returns the agent's bill if it is for this reservation and within
