--- a/internal/route/link.go
+++ b/internal/route/link.go
@@ -55,15 +55,15 @@
 	return t.remote[chosen[best]], estimates[best].FirstToken + wait
 }
 
-// setLink follows the configured rate. It reports whether the link may be used.
+// setLink follows the configured rate, with a full bucket after a change. It
+// reports whether the link may be used.
 func (r *Router) setLink() bool {
-	limit := r.LinkBytesPerSecond()
+	limit := rate.Limit(r.LinkBytesPerSecond())
 	if limit <= 0 {
 		return false
 	}
-	if r.link.Limit() != rate.Limit(limit) {
-		r.link.SetLimit(rate.Limit(limit))
-		r.link.SetBurst(int(max(limit, minLinkBurst)))
+	if old := r.link.Load(); old.Limit() != limit {
+		r.link.CompareAndSwap(old, rate.NewLimiter(limit, int(max(limit, minLinkBurst))))
 	}
 	return true
 }
@@ -71,7 +71,8 @@
 // takeLink takes bytes from the link's share if they are there within
 // maxLinkWait, and returns the wait.
 func (r *Router) takeLink(bytes int) (time.Duration, bool) {
-	taken := r.link.ReserveN(time.Now(), min(bytes, r.link.Burst()))
+	link := r.link.Load()
+	taken := link.ReserveN(time.Now(), min(bytes, link.Burst()))
 	if !taken.OK() {
 		return 0, false
 	}
@@ -85,7 +86,8 @@
 // chargeLink takes what an attempt used beyond the estimate, so that later
 // requests wait for it.
 func (r *Router) chargeLink(bytes int64) {
-	if extra := int(bytes) - answerBytes; extra > 0 && r.link.Burst() > 0 {
-		r.link.ReserveN(time.Now(), min(extra, r.link.Burst()))
+	link := r.link.Load()
+	if extra := int(bytes) - answerBytes; extra > 0 && link.Burst() > 0 {
+		link.ReserveN(time.Now(), min(extra, link.Burst()))
 	}
 }
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -14,6 +14,9 @@
 	// minRequestCost is the least that a request which was sent after a probe adds
 	// to the time that the probe reported.
 	minRequestCost = 5 * time.Millisecond
+	// travelTime is how long a request is on its way to an agent; the answer to a
+	// probe does not count one that was sent within this time before it.
+	travelTime = 3 * time.Millisecond
 )
 
 // Probe implements Candidates. It takes at most the view's timeout.
@@ -34,7 +37,7 @@
 // a session is not known to be alive.
 func (r *Router) probe(ctx context.Context, s *server, args *wire.ProbeArgs) Estimate {
 	s.mu.Lock()
-	address, sent := s.host.Address, s.sent
+	address := s.host.Address
 	remote := s.host.Region != r.Region
 	s.mu.Unlock()
 	session, open := r.Sessions.Open(address)
@@ -45,13 +48,14 @@
 		return Estimate{}
 	}
 	r.probes.Inc(1)
+	asked := time.Now()
 	var reply wire.ProbeReply
 	if err := session.Call(ctx, "Agent.Probe", args, &reply); err != nil {
 		r.silences.Inc(1)
 		s.unanswered(time.Now(), ctx)
 		return Estimate{}
 	}
-	return s.estimate(session, sent, &reply)
+	return s.estimate(session, asked, &reply)
 }
 
 // openRemote opens a session to another region, which is not kept open.
@@ -74,8 +78,8 @@
 }
 
 // estimate turns an answer into an estimate. Requests that this router has sent
-// since the probe left are not in the answer and are added.
-func (s *server) estimate(session *wire.Session, sentBefore uint64, reply *wire.ProbeReply) Estimate {
+// shortly before the probe or since are not in the answer and are added.
+func (s *server) estimate(session *wire.Session, asked time.Time, reply *wire.ProbeReply) Estimate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -88,6 +92,6 @@
 	}
 	e.FirstToken = time.Duration(reply.FirstTokenMillis) * time.Millisecond
 	cost := max(e.FirstToken/time.Duration(reply.Load.Queued+1), minRequestCost)
-	e.FirstToken += time.Duration(s.sent-sentBefore) * cost
+	e.FirstToken += time.Duration(s.sentSince(asked.Add(-travelTime))) * cost
 	return e
 }
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,214 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+	"github.com/monsoonworks/monsoonworks/internal/wire/wiretest"
+)
+
+var modelQuery = Query{Target: "large", Kind: wire.KindModel, Prefixes: []uint64{11, 12, 13, 14, 15}, PromptTokens: 320}
+
+func fleetTest(t *testing.T, n, remote int, f func(t *testing.T, f *testFleet)) {
+	t.Helper()
+	wiretest.Bubble(t, func(t *testing.T) { f(t, newFleet(t, n, remote)) })
+}
+
+// Guards against a wrong verdict about many servers that takes a whole pool away.
+func TestEjectionCap(t *testing.T) {
+	for _, size := range []int{1, 2, 3, 9, 20} {
+		fleetTest(t, size, 0, func(t *testing.T, f *testFleet) {
+			for range 4 * size * size {
+				choice, err := f.router.Choose(t.Context(), Query{Target: "large"})
+				qt.Assert(t, err, qt.IsNil)
+				choice.Done(Result{Kind: ResultFailed})
+				ejected := 0
+				for _, s := range f.router.servers {
+					if s.ejected {
+						ejected++
+					}
+				}
+				qt.Assert(t, ejected <= size/3, qt.IsTrue, qt.Commentf("%d of %d", ejected, size))
+			}
+			p := f.router.pools["north/large"]
+			qt.Assert(t, p.ejected, qt.Equals, size/3)
+			time.Sleep(2 * ejectMax)
+			now := time.Now()
+			for _, s := range f.router.servers {
+				s.healthy(now)
+			}
+			qt.Assert(t, p.ejected, qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against a returned server that gets its full share at once, with a cold
+// cache and perhaps the same fault as before.
+func TestSlowStart(t *testing.T) {
+	now := time.Now()
+	s := &server{pool: &pool{size: 3}, returned: now}
+	for step, want := range []float64{0.1, 0.2, 0.4, 0.8, 1} {
+		at := now.Add(time.Duration(step)*slowStartDouble + time.Second)
+		qt.Assert(t, s.share(at), qt.Equals, want)
+		const draws = 20000
+		usable := 0
+		for range draws {
+			if s.usable(at) {
+				usable++
+			}
+		}
+		// 0.03 is over 8 standard deviations.
+		qt.Assert(t, math.Abs(float64(usable)/draws-want) < 0.03, qt.IsTrue, qt.Commentf("%d", usable))
+	}
+	s.eject(now)
+	qt.Assert(t, s.ejected, qt.IsTrue)
+	qt.Assert(t, s.usable(now.Add(ejectMin/2)), qt.IsFalse)
+	back := now.Add(2 * ejectMin)
+	s.healthy(back)
+	qt.Assert(t, s.share(back), qt.Equals, slowStartShare)
+	s.answered(back, [16]byte{1})
+	s.answered(back.Add(time.Minute), [16]byte{2})
+	qt.Assert(t, s.share(back.Add(time.Minute)), qt.Equals, slowStartShare, qt.Commentf("restarted"))
+}
+
+// Guards against new work at a leaving server, whoever reports it first.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	for name, leave := range map[string]func(f *testFleet){
+		"host list": func(f *testFleet) { f.change(func() { f.hosts[0].Leaving = true }) },
+		"probe": func(f *testFleet) {
+			f.set("s0", func(r *wire.ProbeReply) { r.Load.Draining, r.FirstTokenMillis = true, 0 })
+		},
+		"refusal": func(f *testFleet) {
+			f.router.servers["s0"].finish(time.Now(), Result{Kind: ResultRefused, Code: verdict.CodeDraining})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleetTest(t, 4, 0, func(t *testing.T, f *testFleet) {
+				f.set("s0", func(r *wire.ProbeReply) { r.FirstTokenMillis = 1 })
+				qt.Assert(t, f.choose(t, 100, modelQuery, Result{Kind: ResultOK})["s0"] > 10, qt.IsTrue)
+				leave(f)
+				qt.Assert(t, f.choose(t, 100, modelQuery, Result{Kind: ResultOK})["s0"], qt.Equals, 0)
+			})
+		})
+	}
+	fleetTest(t, 2, 0, func(t *testing.T, f *testFleet) {
+		f.change(func() { f.hosts[0].Leaving, f.hosts[1].Leaving = true, true })
+		_, err := f.router.Choose(t.Context(), modelQuery)
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.CodeNoServer)
+		qt.Assert(t, verdict.Of(err), qt.Equals, verdict.NotRun)
+	})
+}
+
+// Guards against prefixes that wander between servers, and against requests that
+// wait at a busy server for the sake of its cache.
+func TestAffinity(t *testing.T) {
+	fleetTest(t, 12, 0, func(t *testing.T, f *testFleet) {
+		taken := f.choose(t, 60, modelQuery, Result{Kind: ResultOK})
+		qt.Assert(t, len(taken) <= 2, qt.IsTrue, qt.Commentf("%v", taken))
+		for name := range taken {
+			f.set(name, func(r *wire.ProbeReply) { r.FirstTokenMillis = 900 })
+		}
+		for name := range f.choose(t, 60, modelQuery, Result{Kind: ResultOK}) {
+			qt.Assert(t, taken[name], qt.Equals, 0)
+		}
+	})
+}
+
+// Guards against simultaneous choices that all take the server which was best a
+// moment ago.
+func TestOwnRequestsCorrectProbes(t *testing.T) {
+	fleetTest(t, 6, 0, func(t *testing.T, f *testFleet) {
+		choices := make(chan string, 24)
+		for range cap(choices) {
+			go func() {
+				choice, err := f.router.Choose(t.Context(), modelQuery)
+				if err == nil {
+					choices <- choice.Server.Name
+					choice.Done(Result{Kind: ResultOK})
+				}
+			}()
+		}
+		taken := map[string]int{}
+		for range cap(choices) {
+			taken[<-choices]++
+		}
+		qt.Assert(t, len(taken) >= 2, qt.IsTrue, qt.Commentf("%v", taken))
+	})
+}
+
+// Guards against requests that wait for a server which does not answer probes,
+// and against work for one whose connections went silent.
+func TestUnansweredProbe(t *testing.T) {
+	fleetTest(t, 6, 0, func(t *testing.T, f *testFleet) {
+		for i := range 2 {
+			f.mu.Lock()
+			f.slow[fmt.Sprintf("s%d", i)] = true
+			f.mu.Unlock()
+			f.network.Freeze(fmt.Sprintf("s%d", 2+i))
+		}
+		for range 50 {
+			start := time.Now()
+			choice, err := f.router.Choose(t.Context(), modelQuery)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, time.Since(start) <= ProbeTimeout, qt.IsTrue)
+			choice.Done(Result{Kind: ResultOK})
+		}
+		taken := f.choose(t, 50, modelQuery, Result{Kind: ResultOK})
+		qt.Assert(t, taken["s4"]+taken["s5"] > 40, qt.IsTrue, qt.Commentf("%v", taken))
+	})
+}
+
+// Guards against requests that reach another server than the chosen one, because
+// its address was given away.
+func TestAddressOfAnotherServer(t *testing.T) {
+	fleetTest(t, 3, 0, func(t *testing.T, f *testFleet) {
+		f.change(func() { f.hosts[0].Address = "s1" })
+		qt.Assert(t, f.choose(t, 100, modelQuery, Result{Kind: ResultOK})["s0"], qt.Equals, 0)
+	})
+}
+
+// Guards against the use of other regions while a local server can do the work,
+// and beyond the link's share.
+func TestOtherRegions(t *testing.T) {
+	fleetTest(t, 3, 3, func(t *testing.T, f *testFleet) {
+		c := qt.New(t)
+		remote := func(n int, timeout time.Duration) (count int) {
+			for range n {
+				time.Sleep(10 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(t.Context(), timeout)
+				choice, err := f.router.Choose(ctx, modelQuery)
+				cancel()
+				c.Assert(err, qt.IsNil)
+				if choice.Server.Region == "south" {
+					count++
+				}
+				choice.Done(Result{Kind: ResultOK, Bytes: 32 << 10})
+			}
+			return count
+		}
+		f.link = 1 << 20
+		c.Assert(remote(50, time.Second), qt.Equals, 0)
+		for i := range 3 {
+			f.set(fmt.Sprintf("s%d", i), func(r *wire.ProbeReply) { r.FirstTokenMillis = 5000 })
+		}
+		c.Assert(remote(50, time.Minute), qt.Equals, 0)
+		start := time.Now()
+		used := float64(remote(200, time.Second)) * (32<<10 + 320*bytesPerToken)
+		allowed := float64(f.link) * (1 + maxLinkWait.Seconds() + time.Since(start).Seconds())
+		c.Assert(used <= allowed && used > allowed*0.9, qt.IsTrue, qt.Commentf("%.0f of %.0f", used, allowed))
+		f.link = 0
+		c.Assert(remote(10, time.Second), qt.Equals, 0)
+		f.link = 1 << 20
+		time.Sleep(time.Minute)
+		f.change(func() { f.hosts = append([]hosts.Host(nil), f.hosts[3:]...) })
+		c.Assert(remote(5, time.Minute), qt.Equals, 5)
+	})
+}
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -68,7 +69,7 @@
 // table's, then a server's, then its pool's.
 type Router struct {
 	Options
-	link     *rate.Limiter
+	link     atomic.Pointer[rate.Limiter]
 	probes   metrics.Counter
 	silences metrics.Counter
 	remote   metrics.Counter
@@ -93,12 +94,14 @@
 	counter := func(name string) metrics.Counter {
 		return metrics.GetOrRegisterCounter("monsoon.route."+name, opts.Metrics)
 	}
-	return &Router{
-		Options: opts, link: rate.NewLimiter(0, 0),
-		probes: counter("probes_count"), silences: counter("unanswered_probes_count"),
+	r := &Router{
+		Options: opts,
+		probes:  counter("probes_count"), silences: counter("unanswered_probes_count"),
 		remote:  counter("other_region_choices_count"),
 		servers: map[string]*server{}, pools: map[string]*pool{}, tables: map[tableKey]*table{},
 	}
+	r.link.Store(rate.NewLimiter(0, 0))
+	return r
 }
 
 // Run keeps sessions to all live servers of this region open until ctx ends.
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -30,6 +30,9 @@
 	// doubles it every slowStartDouble.
 	slowStartShare  = 0.1
 	slowStartDouble = 2 * time.Second
+	// maxRecent is the number of recent requests that are remembered to correct
+	// the answers to probes.
+	maxRecent = 16
 )
 
 // pool counts the ejected servers of one pool of one region.
@@ -78,8 +81,9 @@
 	returned     time.Time // zero for a server with its full share
 	boot         [16]byte
 	load         wire.Load
-	sinceLoad    int    // requests sent since load was reported
-	sent         uint64 // requests sent in all
+	sinceLoad    int                  // requests sent since load was reported
+	sentAt       [maxRecent]time.Time // when the last requests were sent, a ring
+	nextSent     int
 }
 
 // usable reports whether the server may get a request now.
@@ -180,7 +184,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sinceLoad++
-	s.sent++
+	s.sentAt[s.nextSent] = time.Now()
+	s.nextSent = (s.nextSent + 1) % maxRecent
+}
+
+// sentSince counts the requests sent after t, maxRecent at most.
+func (s *server) sentSince(t time.Time) (n int) {
+	for _, at := range s.sentAt {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
 }
 
 // finish notes how an attempt ended.
