Test the agent

Cause: verdicts, bills and answers must hold when routers, callers and servers fail in the middle of a request.

--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -56,7 +56,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	if r := a.checkLocked(req, now); r != nil {
+	if r := a.checkLocked(req); r != nil {
 		return nil, nil, r
 	}
 	if prepared != nil {
@@ -78,7 +78,7 @@
 }
 
 // checkLocked checks an attempt against the agent's state. Callers hold mu.
-func (a *Agent) checkLocked(req *wire.ExecRequest, now time.Time) *refusal {
+func (a *Agent) checkLocked(req *wire.ExecRequest) *refusal {
 	switch {
 	case a.draining:
 		return refuse(verdict.CodeDraining, "the server is leaving")
@@ -86,7 +86,7 @@
 		return refuse(verdict.CodeFenced, "the router's lots were settled")
 	case req.Claim != nil && req.Claim.Epoch < a.ledger.epochs[req.Claim.Account]:
 		return refuse(verdict.CodeFenced, "the claim is of an earlier epoch")
-	case a.ledger.entombed(req.Attempt, now):
+	case a.ledger.entombed(req.Attempt):
 		return refuse(verdict.CodeFenced, "the attempt was given up")
 	case a.attempts[req.Attempt] != nil:
 		return &refusal{seen: true}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -80,9 +80,8 @@
 
 // Agent executes attempts on one server. It is safe for concurrent use.
 //
-// Lock order: orders.mu, then mu, then the lock of an answer. The locks of the
-// estimator and of the prefix index are leaves. No lock is held during I/O but
-// orders.mu.
+// Lock order: mu, then the lock of an answer. The locks of the estimator, of the
+// prefix index and of the order gate are leaves. No lock is held during I/O.
 type Agent struct {
 	opts    Options
 	model   modelEngine
@@ -161,7 +160,7 @@
 		log:      opts.Logger.With("server", opts.Server, "pool", opts.Pool),
 		attempts: make(map[uuid.UUID]*attempt), queue: newFairQueue(),
 		running: make(map[*attempt]struct{}), ledger: newLedger(), memory: &memory{},
-		changed: make(chan struct{}),
+		orders: orderGate{turn: make(chan struct{}, 1)}, changed: make(chan struct{}),
 	}
 	a.SetTargets(opts.Targets)
 	return a
--- /dev/null
+++ b/internal/agent/helpers_test.go
@@ -0,0 +1,297 @@
+package agent
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"github.com/tidwall/gjson"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/engine"
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+var (
+	agentBoot   = uuid.New()
+	testAccount = budget.Account{Shard: 3, Region: "doo-central"}
+	routerA     = budget.Incarnation{Name: "router-a", Boot: uuid.New()}
+	routerB     = budget.Incarnation{Name: "router-b", Boot: uuid.New()}
+)
+
+// stubEngine generates tokens at 1 per millisecond until its length is reached.
+type stubEngine struct {
+	mu sync.Mutex
+	// length is the number of tokens that it generates, whatever was asked.
+	length int
+	// err, if set, ends a run after errAfter tokens.
+	err      error
+	errAfter int
+	health   error
+	boot     string
+	canceled []uuid.UUID
+	orders   []engine.Order
+	ran      []uuid.UUID
+	orderFor time.Duration
+}
+
+func (s *stubEngine) Run(ctx context.Context, req *engine.Request, onEvent func(*engine.Event) error) error {
+	s.mu.Lock()
+	s.ran = append(s.ran, req.ID)
+	length, failure, after := s.length, s.err, s.errAfter
+	s.mu.Unlock()
+	for i := range length {
+		if failure != nil && i == after {
+			return failure
+		}
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(time.Millisecond):
+		}
+		if err := onEvent(&engine.Event{Tokens: 1, JSON: tokenChunk(i)}); err != nil {
+			return err
+		}
+	}
+	if failure != nil {
+		return failure
+	}
+	last := &engine.Event{Empty: true, JSON: `{"choices":[]}`, Usage: &engine.Usage{Prompt: 7, Output: budget.Tokens(length)}}
+	return onEvent(last)
+}
+
+func tokenChunk(i int) string {
+	return fmt.Sprintf(`{"id":"x","model":"m","created":5,"choices":[{"index":0,"delta":{"content":"t%d "},"finish_reason":null}],"token_ids":[%d]}`, i, i)
+}
+
+func (s *stubEngine) Cancel(_ context.Context, id uuid.UUID) (*engine.Usage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.canceled = append(s.canceled, id)
+	return nil, nil
+}
+
+func (s *stubEngine) Health(context.Context) (engine.Health, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return engine.Health{Boot: s.boot}, s.health
+}
+
+// fail makes health checks and runs fail from now on.
+func (s *stubEngine) fail(health, run error, after int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health, s.err, s.errAfter = health, run, after
+}
+
+func (s *stubEngine) Order(_ context.Context, order engine.Order) error {
+	time.Sleep(s.orderFor)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders = append(s.orders, order)
+	return nil
+}
+
+func (s *stubEngine) FollowCache(ctx context.Context, _ time.Duration, _ engine.CacheSink) {
+	<-ctx.Done()
+}
+
+// stubStream is a router's stream in memory.
+type stubStream struct {
+	body   []byte
+	cancel chan struct{}
+	closed chan struct{}
+	ended  chan struct{} // closed when the handler has returned
+	once   sync.Once
+	// pause delays each part, like a slow router.
+	pause time.Duration
+
+	mu       sync.Mutex
+	refused  *wire.Refused
+	accepted *wire.Accepted
+	head     *wire.Head
+	parts    []string
+	tokens   int
+	done     *wire.Done
+}
+
+func newStream() *stubStream {
+	return &stubStream{
+		body:   []byte(`{"model":"m","messages":[]}`),
+		cancel: make(chan struct{}, 1), closed: make(chan struct{}), ended: make(chan struct{}),
+	}
+}
+
+// hangUp ends the stream as a lost session does.
+func (s *stubStream) hangUp() { s.once.Do(func() { close(s.closed) }) }
+
+var errHungUp = errors.New("stream closed")
+
+func (s *stubStream) ReadBody(int) ([]byte, error) { return s.body, nil }
+
+func (s *stubStream) WaitCancel() bool {
+	select {
+	case <-s.cancel:
+		return true
+	case <-s.closed:
+		return false
+	}
+}
+
+func (s *stubStream) record(f func()) error {
+	select {
+	case <-s.closed:
+		return errHungUp
+	case <-time.After(s.pause):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	return nil
+}
+
+func (s *stubStream) Refuse(m *wire.Refused) error  { return s.record(func() { s.refused = m }) }
+func (s *stubStream) Accept(m *wire.Accepted) error { return s.record(func() { s.accepted = m }) }
+func (s *stubStream) Head(m *wire.Head) error       { return s.record(func() { s.head = m }) }
+func (s *stubStream) Finish(m *wire.Done) error     { return s.record(func() { s.done = m }) }
+func (s *stubStream) Data(n uint32, p []byte) error {
+	return s.record(func() {
+		s.tokens += int(n)
+		s.parts = append(s.parts, string(p))
+	})
+}
+
+func (s *stubStream) text() string { return strings.Join(s.parts, "") }
+
+// chunks returns the JSON of the server-sent events.
+func (s *stubStream) chunks(c *qt.C) []gjson.Result {
+	var out []gjson.Result
+	for _, part := range s.parts {
+		data, found := strings.CutPrefix(strings.TrimSuffix(part, "\n\n"), "data: ")
+		c.Assert(found, qt.IsTrue)
+		out = append(out, gjson.Parse(data))
+	}
+	return out
+}
+
+// bench is an agent with a stub engine.
+type bench struct {
+	*qt.C
+	agent   *Agent
+	rpc     *RPC
+	engine  *stubEngine
+	reports []wire.SuspectReport
+}
+
+// inBench runs a test in virtual time.
+func inBench(t *testing.T, opts Options, test func(b *bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{C: qt.New(t), engine: &stubEngine{length: 10, boot: "1"}}
+		opts.Identity = budget.Incarnation{Name: "srv-1", Boot: agentBoot}
+		opts.Targets = []string{"m"}
+		opts.Metrics = metrics.NewRegistry()
+		opts.Logger = slog.New(slog.DiscardHandler)
+		opts.OnCrash = func(r wire.SuspectReport) { b.reports = append(b.reports, r) }
+		b.agent = newAgent(opts.withDefaults(), b.engine, nil)
+		b.rpc = &RPC{agent: b.agent}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = b.agent.Run(ctx) }()
+		synctest.Wait()
+		test(b)
+		cancel()
+		time.Sleep(time.Hour) // virtual; ends the timers of the last attempts
+	})
+}
+
+// newAttemptID returns a UUIDv7 of the virtual time. uuid.NewV7 never goes back
+// in time, but the clock of each test does.
+func newAttemptID() uuid.UUID {
+	id := uuid.New()
+	var millis [8]byte
+	binary.BigEndian.PutUint64(millis[:], uint64(time.Now().UnixMilli()))
+	copy(id[:6], millis[2:])
+	id[6] = 0x70 | id[6]&0x0f
+	return id
+}
+
+// request returns a streamed request of router A with a reservation of 100.
+func request(change ...func(*wire.ExecRequest)) *wire.ExecRequest {
+	req := &wire.ExecRequest{
+		Request: uuid.New(), Attempt: newAttemptID(), Router: routerA, TargetBoot: agentBoot,
+		Budget: "shop/main", Lot: budget.LotID{Account: testAccount, Epoch: 1, Num: 1}, Slot: 1,
+		Reserve: 100, PromptBound: 20, Kind: wire.KindModel, Target: "m", Method: "POST", Path: chatPath,
+		Stream: true, Idempotent: true,
+	}
+	for _, f := range change {
+		f(req)
+	}
+	return req
+}
+
+func keyed(req *wire.ExecRequest) { req.Claim = &wire.Claim{Account: testAccount, Epoch: 4} }
+
+// start runs a request in the background and returns when it is queued or runs.
+func (b *bench) start(req *wire.ExecRequest) *stubStream {
+	s := newStream()
+	b.startStream(req, s)
+	return s
+}
+
+func (b *bench) startStream(req *wire.ExecRequest, s *stubStream) {
+	go func() {
+		defer close(s.ended)
+		defer s.hangUp()
+		peer := wire.Hello{Role: wire.RoleRouter, Name: req.Router.Name, Boot: req.Router.Boot}
+		b.agent.exec(context.Background(), peer, s, req)
+	}()
+	synctest.Wait()
+}
+
+// run runs a request to its end.
+func (b *bench) run(req *wire.ExecRequest) *stubStream {
+	s := b.start(req)
+	<-s.ended
+	return s
+}
+
+// attach continues an attempt in the background.
+func (b *bench) attach(attempt uuid.UUID, offset int) *stubStream {
+	s := newStream()
+	go func() {
+		defer close(s.ended)
+		defer s.hangUp()
+		b.agent.attach(context.Background(), s, &wire.Attach{Attempt: attempt, Offset: offset})
+	}()
+	synctest.Wait()
+	return s
+}
+
+func (b *bench) collect(args wire.CollectArgs) wire.CollectReply {
+	var reply wire.CollectReply
+	args.Account = testAccount
+	b.Assert(b.rpc.Collect(&args, &reply), qt.IsNil)
+	return reply
+}
+
+func (b *bench) resolve(attempt uuid.UUID, fence bool) wire.ResolveReply {
+	var reply wire.ResolveReply
+	b.Assert(b.rpc.Resolve(&wire.ResolveArgs{Attempt: attempt, Fence: fence}, &reply), qt.IsNil)
+	return reply
+}
+
+// remembered returns the size of the kept answers and the number of attempts.
+func (b *bench) remembered() (bytes, records int) {
+	b.agent.mu.Lock()
+	defer b.agent.mu.Unlock()
+	return b.agent.memory.keptBytes, len(b.agent.attempts)
+}
--- a/internal/agent/ledger.go
+++ b/internal/agent/ledger.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/google/uuid"
@@ -48,8 +49,8 @@
 	tombstones map[uuid.UUID]struct{}
 	// tombstoneOrder lists the tombstones, oldest first.
 	tombstoneOrder []tombstone
-	// floor is the highest time of an attempt whose tombstone was dropped.
-	floor time.Time
+	// floor covers the attempts whose tombstones were dropped.
+	floor floor
 	// droppedEarly counts fences and tombstones that were dropped for lack of
 	// memory.
 	droppedEarly int64
@@ -64,18 +65,38 @@
 	}
 }
 
-// attemptTime returns the time that an attempt id carries, not later than now,
-// so that an id with a wrong clock cannot raise a floor into the future. It is
-// zero for an id that carries none.
-func attemptTime(id uuid.UUID, now time.Time) time.Time {
+// attemptTime returns the time that an attempt id carries, zero if it carries
+// none.
+func attemptTime(id uuid.UUID) time.Time {
 	if id.Version() != 7 {
 		return time.Time{}
 	}
-	millis := int64(id[0])<<40 | int64(id[1])<<32 | int64(id[2])<<24 | int64(id[3])<<16 | int64(id[4])<<8 | int64(id[5])
-	if t := time.UnixMilli(millis); t.Before(now) {
-		return t
+	return time.UnixMilli(int64(binary.BigEndian.Uint64(id[:8]) >> 16))
+}
+
+// ageOf returns how old a record about an attempt is, made at the given time. A
+// record about an id that lies in the future does not age until then, so that a
+// floor made from it is never in the future.
+func ageOf(id uuid.UUID, made, now time.Time) time.Duration {
+	if t := attemptTime(id); t.After(made) {
+		made = t
+	}
+	return now.Sub(made)
+}
+
+// floor is a time that replaces dropped records about attempts: what is known
+// about an attempt that is not newer is lost. The zero value replaces nothing.
+type floor struct{ at time.Time }
+
+// raise covers an attempt, but no time after now.
+func (f *floor) raise(id uuid.UUID, now time.Time) {
+	if t := earlier(attemptTime(id), now); t.After(f.at) {
+		f.at = t
 	}
-	return now
+}
+
+func (f *floor) covers(id uuid.UUID) bool {
+	return !f.at.IsZero() && !attemptTime(id).After(f.at)
 }
 
 func (l *ledger) addBill(bill budget.Bill, router budget.Incarnation) {
@@ -156,17 +177,13 @@
 	oldest := l.tombstoneOrder[0]
 	l.tombstoneOrder = l.tombstoneOrder[1:]
 	delete(l.tombstones, oldest.attempt)
-	if t := attemptTime(oldest.attempt, now); t.After(l.floor) {
-		l.floor = t
-	}
+	l.floor.raise(oldest.attempt, now)
 }
 
 // entombed reports whether an attempt must not run.
-func (l *ledger) entombed(attempt uuid.UUID, now time.Time) bool {
-	if _, found := l.tombstones[attempt]; found {
-		return true
-	}
-	return !l.floor.IsZero() && !attemptTime(attempt, now).After(l.floor)
+func (l *ledger) entombed(attempt uuid.UUID) bool {
+	_, found := l.tombstones[attempt]
+	return found || l.floor.covers(attempt)
 }
 
 // takeDroppedEarly returns the count since the last call.
@@ -178,7 +195,7 @@
 
 // sweep drops what is past its retention.
 func (l *ledger) sweep(now time.Time) {
-	for len(l.tombstoneOrder) > 0 && now.Sub(l.tombstoneOrder[0].at) > tombstoneRetention {
+	for len(l.tombstoneOrder) > 0 && ageOf(l.tombstoneOrder[0].attempt, l.tombstoneOrder[0].at, now) > tombstoneRetention {
 		l.dropOldestTombstone(now)
 	}
 	for key, at := range l.fences {
--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -31,9 +31,9 @@
 	keyed, unkeyed []*attempt
 	// keptBytes is the size of the finished answers that are kept.
 	keptBytes int
-	// floor is the highest time of an attempt whose record was dropped. An
-	// unknown attempt that is not newer may have run.
-	floor time.Time
+	// floor covers the attempts whose records were dropped: an unknown one may
+	// have run.
+	floor floor
 }
 
 func (m *memory) finished(at *attempt) {
@@ -94,16 +94,14 @@
 func (m *memory) expireRecords(now time.Time, forget func(*attempt)) (early int) {
 	drop := func(list []*attempt) []*attempt {
 		forget(list[0])
-		if t := attemptTime(list[0].id, now); t.After(m.floor) {
-			m.floor = t
-		}
+		m.floor.raise(list[0].id, now)
 		list[0] = nil
 		return list[1:]
 	}
-	for len(m.unkeyed) > 0 && now.Sub(m.unkeyed[0].finishedAt) > unkeyedRetention {
+	for len(m.unkeyed) > 0 && ageOf(m.unkeyed[0].id, m.unkeyed[0].finishedAt, now) > unkeyedRetention {
 		m.unkeyed = drop(m.unkeyed)
 	}
-	for len(m.keyed) > 0 && now.Sub(m.keyed[0].finishedAt) > keyedRetention {
+	for len(m.keyed) > 0 && ageOf(m.keyed[0].id, m.keyed[0].finishedAt, now) > keyedRetention {
 		m.keyed = drop(m.keyed)
 	}
 	for len(m.keyed)+len(m.unkeyed) > maxRecords {
@@ -137,7 +135,6 @@
 // resolveLocked returns what is known about an attempt. With fence set, an
 // attempt that was not seen is refused from now on. Callers hold mu.
 func (a *Agent) resolveLocked(id uuid.UUID, fence bool) (wire.AttemptState, *wire.Done) {
-	now := time.Now()
 	if at := a.attempts[id]; at != nil {
 		switch {
 		case at.state != stateFinished:
@@ -148,7 +145,7 @@
 			return wire.AttemptFinished, a.doneLocked(at)
 		}
 	}
-	if a.ledger.entombed(id, now) {
+	if a.ledger.entombed(id) {
 		return wire.AttemptUnseen, nil
 	}
 	if bill := a.ledger.bill(id); bill != nil {
@@ -156,13 +153,13 @@
 			Attempt: id, Verdict: verdict.Ran, Code: verdict.CodeAnswerNotKept, Bill: bill, Load: a.loadLocked(),
 		}
 	}
-	if !a.memory.floor.IsZero() && !attemptTime(id, now).After(a.memory.floor) {
+	if a.memory.floor.covers(id) {
 		return wire.AttemptForgotten, &wire.Done{
 			Attempt: id, Verdict: verdict.Unknown, Code: verdict.CodeAnswerNotKept, Load: a.loadLocked(),
 		}
 	}
 	if fence {
-		a.ledger.entomb(id, now)
+		a.ledger.entomb(id, time.Now())
 	}
 	return wire.AttemptUnseen, nil
 }
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -15,12 +15,12 @@
 
 // orderGate lets orders through one at a time and refuses old fence numbers.
 type orderGate struct {
-	// mu is held while an order is carried out.
-	mu sync.Mutex
-	// fenceMu guards fence, known and checked. It is a leaf.
-	fenceMu sync.Mutex
-	fence   int64
-	known   bool
+	// turn has room for the one order that is carried out.
+	turn chan struct{}
+	// mu guards fence and known. It is a leaf.
+	mu    sync.Mutex
+	fence int64
+	known bool
 }
 
 // SetCurrentFence tells the agent the rollout leader's current fence number, as
@@ -29,16 +29,16 @@
 // before changes nothing.
 func (a *Agent) SetCurrentFence(fence int64) {
 	g := &a.orders
-	g.fenceMu.Lock()
-	defer g.fenceMu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.known = true
 	g.fence = max(g.fence, fence)
 }
 
 // pass checks an order's fence number and remembers it.
 func (g *orderGate) pass(fence int64) (reply wire.OrderReply, ok bool) {
-	g.fenceMu.Lock()
-	defer g.fenceMu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	switch {
 	case !g.known:
 		return wire.OrderReply{Detail: "the current fence number is not known yet"}, false
@@ -60,8 +60,8 @@
 		a.metrics.fencedOrders.Inc(1)
 		return reply
 	}
-	a.orders.mu.Lock()
-	defer a.orders.mu.Unlock()
+	a.orders.turn <- struct{}{}
+	defer func() { <-a.orders.turn }()
 	if reply, ok := a.orders.pass(args.Fence); !ok {
 		a.metrics.fencedOrders.Inc(1)
 		return reply
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -123,7 +123,7 @@
 		done.Code = verdict.CodeAnswerNotKept
 		return nil, nil, done
 	}
-	if a.ledger.entombed(req.Attempt, time.Now()) {
+	if a.ledger.entombed(req.Attempt) {
 		return nil, nil, nil
 	}
 	return nil, nil, &wire.Done{
