Refuse calls that cannot be made into HTTP requests as not run

Cause: a path without a slash could change the server's address, an invalid header gave verdict unknown, and a request that net/http refuses to build counted as a server that does not answer, which ended all waiting attempts. Change: such calls end as bad requests that did not run; line ends in an engine's chunks are removed before they reach the caller's stream; prompt tokens beyond their bound count as absorbed.

--- /dev/null
+++ b/devel/standin/service/service_test.go
@@ -0,0 +1,35 @@
+package service
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a ledger that misses a run whose caller left after its effect,
+// or lists one whose caller left before.
+func TestLedgerListsWhatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := New(Config{Latency: time.Second, AfterLatency: time.Second})
+		for _, patience := range []time.Duration{time.Second / 2, 3 * time.Second / 2, 3 * time.Second} {
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/orders", strings.NewReader("12 trays"))
+			r.Header.Set("Idempotency-Key", patience.String())
+			s.Handler().ServeHTTP(httptest.NewRecorder(), r)
+			cancel()
+		}
+		runs := s.Runs()
+		c.Assert(runs, qt.HasLen, 2)
+		c.Assert(runs[0].Answered, qt.IsFalse)
+		c.Assert(runs[1].Answered, qt.IsTrue)
+		c.Assert(runs[1].Key, qt.Equals, "3s")
+		c.Assert(runs[1].Body, qt.Equals, "12 trays")
+	})
+}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -70,6 +70,76 @@
 	})
 }
 
+// Guards against a cut answer that lacks the usage that its caller asked for, also
+// if nothing of it was passed on.
+func TestCutStreamReportsItsUsage(t *testing.T) {
+	inBench(t, Options{}, func(b *bench) {
+		for _, limit := range []budget.Tokens{3, 0} {
+			s := newStream()
+			s.body = []byte(`{"stream_options":{"include_usage":true}}`)
+			b.startStream(request(func(r *wire.ExecRequest) { r.Reserve = r.PromptBound + limit }), s)
+			<-s.ended
+			chunks := s.chunks(b.C)
+			b.Assert(chunks, qt.HasLen, int(limit)+3)
+			cut, usage := chunks[limit], chunks[limit+1]
+			b.Assert(cut.Get("choices.0.finish_reason").Str, qt.Equals, "length")
+			b.Assert(cut.Get("choices.0.delta").Raw, qt.Equals, "{}")
+			b.Assert(cut.Get("token_ids.#").Int(), qt.Equals, int64(0))
+			b.Assert(usage.Get("choices.#").Int(), qt.Equals, int64(0))
+			b.Assert(usage.Get("usage.completion_tokens").Int(), qt.Equals, int64(limit))
+			b.Assert(s.done.Bill.Amount, qt.Equals, 20+limit)
+		}
+	})
+}
+
+// Guards against a request that reaches the engine without the limit that was
+// paid for, and against a chunk whose line ends break the caller's stream.
+func TestBodiesAndChunksAreRewritten(t *testing.T) {
+	inBench(t, Options{}, func(b *bench) {
+		req := request(func(r *wire.ExecRequest) { r.MaxOutput, r.Priority = 9, 2 })
+		p, err := prepareBody(req, []byte(`{"stream":false,"max_tokens":70,"max_completion_tokens":80,"seed":1,"stream_options":{"x":1}}`))
+		b.Assert(err, qt.IsNil)
+		b.Assert(string(p.body), qt.JSONEquals, map[string]any{
+			"stream": true, "max_completion_tokens": 9, "seed": 1, "priority": 2,
+			"stream_options": map[string]any{"x": 1, "include_usage": true},
+		})
+		b.Assert(p.usage, qt.IsFalse)
+		for _, bad := range []string{"", "null", "[1]", `{"stream_options":3}`} {
+			_, err := prepareBody(req, []byte(bad))
+			b.Assert(err, qt.IsNotNil, qt.Commentf(bad))
+		}
+		at, _, refused := b.agent.admit(req, nil, p)
+		b.Assert(refused, qt.IsNil)
+		r := &modelRun{agent: b.agent, at: at}
+		b.Assert(r.send(1, "{\r\n\"a\":\n1}"), qt.IsNil)
+		b.Assert(string(at.answer.attach(0).read(0).frames[0].data), qt.Equals, "data: {\"a\":1}\n\n")
+	})
+}
+
+// Guards against a reader that is told an attempt's end without its bill because
+// the parts that it needs are gone.
+func TestLostReaderGetsTheEndWithTheBill(t *testing.T) {
+	inBench(t, Options{}, func(b *bench) {
+		req := request(keyed)
+		s := b.start(req)
+		time.Sleep(5 * time.Millisecond)
+		b.agent.mu.Lock()
+		an := b.agent.attempts[req.Attempt].answer
+		b.agent.mu.Unlock()
+		an.mu.Lock()
+		b.Assert(an.trimLocked(), qt.IsTrue)
+		an.mu.Unlock()
+		late := b.attach(req.Attempt, 0)
+		b.Assert(late.accepted, qt.IsNotNil)
+		<-s.ended
+		<-late.ended
+		b.Assert(s.tokens, qt.Equals, 10)
+		b.Assert(late.tokens, qt.Equals, 0)
+		b.Assert(late.done.Code, qt.Equals, verdict.CodeAnswerNotKept)
+		b.Assert(late.done.Bill, qt.DeepEquals, s.done.Bill)
+	})
+}
+
 // Guards against tool calls and several choices that get mixed up.
 func TestAssemblerMergesToolCalls(t *testing.T) {
 	c := qt.New(t)
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -160,7 +160,7 @@
 	delete(a.running, at)
 	a.pendingPrefill -= at.prefill
 	at.prefill = 0
-	done.Attempt, done.Crashed = at.id, at.crashed
+	done.Attempt, done.Crashed = at.id, at.crashed && done.Verdict != verdict.NotRun
 	at.done, at.state, at.finishedAt = done, stateFinished, time.Now()
 	at.body, at.prepared = nil, nil
 	at.req = slimRequest(at.req)
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -163,8 +164,17 @@
 
 // send adds one server-sent event to the answer.
 func (r *modelRun) send(tokens uint32, text string) error {
+	data := []byte(text)
+	if bytes.ContainsAny(data, "\r\n") {
+		// A line end outside of a JSON string would end the event's line.
+		var compact bytes.Buffer
+		if err := json.Compact(&compact, data); err != nil {
+			return err
+		}
+		data = compact.Bytes()
+	}
 	r.delivered = true
-	return r.at.answer.append(r.at.ctx, tokens, dataPrefix, []byte(text), eventEnd)
+	return r.at.answer.append(r.at.ctx, tokens, dataPrefix, data, eventEnd)
 }
 
 func streamHead(at *attempt) *wire.Head {
@@ -191,15 +201,16 @@
 // counts as unreported. What the engine generated beyond the bound is absorbed.
 func (r *modelRun) count(unreported budget.Tokens) (prompt, output budget.Tokens) {
 	prompt, output = unreported, r.output
-	generated := r.seen
+	generated, beyond := r.seen, budget.Tokens(0)
 	if r.usage != nil {
 		prompt = min(r.usage.Prompt, r.at.req.PromptBound)
+		beyond = r.usage.Prompt - prompt
 		generated = max(generated, r.usage.Output)
 	}
 	if !r.cut {
 		output = max(output, min(generated, r.limit))
 	}
-	r.agent.metrics.absorbedTokens.Inc(int64(generated - output))
+	r.agent.metrics.absorbedTokens.Inc(int64(generated - output + beyond))
 	return prompt, output
 }
 
@@ -289,6 +300,8 @@
 	case errors.Is(err, errDeadline):
 		r.stopEngine()
 		done.Code = verdict.CodeDeadline
+	case errors.Is(err, engine.ErrInvalid):
+		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Detail: err.Error()}, nil
 	case errors.Is(err, engine.ErrNotSent):
 		r.agent.setDown(true)
 		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeNoServer, Detail: "the server cannot be reached"}, nil
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -22,11 +22,16 @@
 		Method: at.req.Method, Path: at.req.Path, Headers: at.req.Headers, Body: at.body,
 		Idempotent: at.req.Idempotent,
 	})
-	if errors.Is(err, engine.ErrNotSent) {
+	cause := context.Cause(at.ctx)
+	switch {
+	case errors.Is(err, engine.ErrInvalid):
+		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Detail: err.Error()}, nil
+	case errors.Is(err, engine.ErrNotSent) && cause != nil:
+		return &wire.Done{Verdict: verdict.NotRun, Code: codeOf(cause), Detail: cause.Error()}, nil
+	case errors.Is(err, engine.ErrNotSent):
 		a.setDown(true)
 		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeNoServer, Detail: "the service cannot be reached"}, nil
-	}
-	if err != nil {
+	case err != nil:
 		return a.serviceFailed(at, err, verdict.Unknown), nil
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/agent/standin_test.go
+++ b/internal/agent/standin_test.go
@@ -212,3 +212,25 @@
 	}
 	return text.String()
 }
+
+// Guards against a refusal of the engine that is told as a run, and against one
+// bad request that is taken for a server that does not answer.
+func TestEngineRefusalsAreNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := standin.New(standin.Config{KVBlocks: 4})
+		besideHandler(t, wire.KindModel, e.Handler(), func(b *bench, _ *pipenet.Listener) {
+			for model, want := range map[string]verdict.Code{"unloaded": verdict.CodeNotFound, "standin": verdict.CodeBadRequest} {
+				s := newStream()
+				s.body = fmt.Appendf(nil, `{"model":%q,"messages":[{"role":"user","content":"[[len:500]]"}]}`, model)
+				b.startStream(request(func(r *wire.ExecRequest) { r.MaxOutput, r.Reserve = 500, 1000 }), s)
+				<-s.ended
+				b.Assert(s.done.Code, qt.Equals, want)
+				b.Assert(s.done.Verdict, qt.Equals, verdict.NotRun)
+				b.Assert(s.done.Bill, qt.IsNil)
+			}
+			s := b.run(request(func(r *wire.ExecRequest) { r.Path = "/admin" }))
+			b.Assert(s.refused.Code, qt.Equals, verdict.CodeBadRequest)
+			b.Assert(e.Runs(), qt.HasLen, 0)
+		})
+	})
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -52,6 +52,9 @@
 	// ErrNotSent means that no connection could be opened: the request
 	// certainly did not run.
 	ErrNotSent = errors.New("server cannot be reached")
+	// ErrInvalid means that no HTTP request can be made of a call: it certainly
+	// did not run.
+	ErrInvalid = errors.New("invalid request")
 	// ErrGone means that the server went away after the request was sent.
 	ErrGone = errors.New("server went away")
 	// ErrStreamLost means that the engine answers but no longer has the stream.
@@ -170,8 +173,8 @@
 // Run sends a request and calls onEvent for each chunk of the answer; the event
 // is valid until onEvent returns. Run resumes
 // a broken stream as long as the engine still has it. It returns nil after the
-// engine's end mark, the error of onEvent, ctx's error, ErrNotSent (certainly not
-// run), a *StatusError, ErrGone, ErrStreamLost or ErrCrossed.
+// engine's end mark, the error of onEvent, ctx's cause, ErrNotSent or ErrInvalid (certainly not
+// run), ErrInvalid, a *StatusError, ErrGone, ErrStreamLost or ErrCrossed.
 //
 // Run does not cancel the engine's stream when it returns early.
 func (c *Client) Run(ctx context.Context, req *Request, onEvent func(*Event) error) error {
@@ -227,7 +230,7 @@
 	defer stall.stop()
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, r.client.opts.URL+r.req.Path, bytes.NewReader(r.req.Body))
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	// Without GetBody the transport cannot send the request a second time.
 	httpReq.GetBody = nil
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -238,6 +238,13 @@
 		c.Assert(echo.Get("query").Str, qt.Equals, "x=1&x=2")
 		c.Assert(echo.Get("body").Str, qt.Equals, "tray")
 		c.Assert(echo.Get("header.X-Shop").Raw, qt.Equals, `["1","2"]`)
+		for _, bad := range []*ServiceCall{
+			{Method: "GET", Path: "@other/stock"}, {Method: "G T", Path: "/stock"},
+			{Method: "GET", Path: "/stock", Headers: []wire.Header{{Name: "X-Shop", Value: "1\r\nX-Evil: 2"}}},
+		} {
+			_, err := client.Call(t.Context(), bad)
+			c.Assert(err, qt.ErrorIs, ErrInvalid)
+		}
 		for _, absent := range []string{"Authorization", "X-Hop", "User-Agent"} {
 			c.Assert(echo.Get("header."+absent).Exists(), qt.IsFalse, qt.Commentf(absent))
 		}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -10,6 +10,8 @@
 	"net/textproto"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -51,15 +53,18 @@
 }
 
 // Call forwards a call and returns the response, whose body the caller closes.
-// An error that wraps ErrNotSent means that the call certainly did not run; after
-// any other error it may have run.
+// An error that wraps ErrNotSent or ErrInvalid means that the call certainly did
+// not run; after any other error it may have run.
 //
 // A non-idempotent call gets a connection of its own: on a reused one, a server
 // that closes it for being idle cannot be told from one that took the call.
 func (s *Service) Call(ctx context.Context, call *ServiceCall) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.url+call.Path, bytes.NewReader(call.Body))
+	if err == nil {
+		err = checkCall(call)
+	}
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	// Without GetBody the transport cannot send a call a second time, which it
 	// would otherwise do for one with an Idempotency-Key header.
@@ -79,6 +84,20 @@
 	return resp, err
 }
 
+// checkCall finds what would make a call mean another one: a path that changes
+// the server's address, or headers that hold more than one line.
+func checkCall(call *ServiceCall) error {
+	if !strings.HasPrefix(call.Path, "/") {
+		return errors.New("the path does not begin with a slash")
+	}
+	for _, h := range call.Headers {
+		if !httpguts.ValidHeaderFieldName(h.Name) || !httpguts.ValidHeaderFieldValue(h.Value) {
+			return fmt.Errorf("header %.40q", h.Name)
+		}
+	}
+	return nil
+}
+
 // setHeaders copies the end-to-end headers, but for the caller's credentials.
 func setHeaders(req *http.Request, headers []wire.Header) {
 	dropped := connectionHeaders(headers)
