--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -52,6 +52,9 @@
 	// ErrNotSent means that no connection could be opened: the request
 	// certainly did not run.
 	ErrNotSent = errors.New("server cannot be reached")
+	// ErrInvalid means that no HTTP request can be made of a call: it certainly
+	// did not run.
+	ErrInvalid = errors.New("invalid request")
 	// ErrGone means that the server went away after the request was sent.
 	ErrGone = errors.New("server went away")
 	// ErrStreamLost means that the engine answers but no longer has the stream.
@@ -167,10 +170,11 @@
 	TraceParent string
 }
 
-// Run sends a request and calls onEvent for each chunk of the answer. It resumes
+// Run sends a request and calls onEvent for each chunk of the answer; the event
+// is valid until onEvent returns. Run resumes
 // a broken stream as long as the engine still has it. It returns nil after the
-// engine's end mark, the error of onEvent, ctx's error, ErrNotSent (certainly not
-// run), a *StatusError, ErrGone, ErrStreamLost or ErrCrossed.
+// engine's end mark, the error of onEvent, ctx's cause, ErrNotSent or ErrInvalid (certainly not
+// run), ErrInvalid, a *StatusError, ErrGone, ErrStreamLost or ErrCrossed.
 //
 // Run does not cancel the engine's stream when it returns early.
 func (c *Client) Run(ctx context.Context, req *Request, onEvent func(*Event) error) error {
@@ -204,6 +208,7 @@
 	req     *Request
 	onEvent func(*Event) error
 	lastID  int64
+	event   Event // reused for each chunk
 	answer  string
 	crossed int
 	// unnumbered is set after a chunk without an id: the stream cannot be
@@ -225,7 +230,7 @@
 	defer stall.stop()
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, r.client.opts.URL+r.req.Path, bytes.NewReader(r.req.Body))
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrNotSent, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	// Without GetBody the transport cannot send the request a second time.
 	httpReq.GetBody = nil
@@ -326,8 +331,8 @@
 }
 
 func (r *run) deliver(raw rawEvent, stall *stallTimer) error {
-	event, err := parseEvent(raw.data)
-	if err != nil {
+	event := &r.event
+	if err := parseEvent(raw.data, event); err != nil {
 		return err
 	}
 	if r.answer != "" && event.Answer != "" && event.Answer != r.answer {
@@ -344,7 +349,7 @@
 	// The time that the receiver takes is not the engine's.
 	stall.pause()
 	defer stall.reset()
-	if err := r.onEvent(&event); err != nil {
+	if err := r.onEvent(event); err != nil {
 		r.rejected = true
 		return err
 	}
