Let the first requests of a budget wait for their draw

Cause: the first requests on a budget were refused after 460 ms, because a new holder waited a second for its first flush and a caller less than that for its grant. Change: a holder saves up four urgent flushes, so the mean of one per second stays; a caller waits 1.2 s to 3 s for a grant.

--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -62,7 +62,7 @@
 // reads the treasury and calls ObserveTreasury and PrepareFlush.
 func (h *Holder) FlushDue(now time.Time) bool {
 	since := now.Sub(h.lastFlush)
-	if h.deposed || h.sealed || since < UrgentFlushInterval {
+	if h.deposed || h.sealed || since < h.flushGap(now) {
 		return false
 	}
 	if h.needTreasury || since >= FlushInterval && (len(h.budgets) > 0 || len(h.lots) > 0) {
@@ -78,6 +78,20 @@
 	return pending >= MaxBillsPerFlush
 }
 
+// flushGap returns the least time between the last flush and the next.
+func (h *Holder) flushGap(now time.Time) time.Duration {
+	if h.flushCreditAt(now) >= 1 {
+		return urgentFlushGap
+	}
+	return UrgentFlushInterval
+}
+
+// flushCreditAt returns the flushes that the account may make without waiting.
+func (h *Holder) flushCreditAt(now time.Time) float64 {
+	earned := now.Sub(h.lastFlush).Seconds() / UrgentFlushInterval.Seconds()
+	return min(urgentFlushBurst, h.flushCredit+max(0, earned))
+}
+
 func (b *budgetState) urgent(now time.Time) bool {
 	return !now.Before(b.retryAt) && b.stillUnmet(now) > 0 || b.returnable(now) > 0 || b.thaw > 0
 }
@@ -103,6 +117,7 @@
 			return nil, err
 		}
 	}
+	h.flushCredit = max(0, h.flushCreditAt(now)-1)
 	h.lastFlush = now
 	h.planBills(p)
 	if p.Treasury == nil && p.Bills.Empty() && len(p.thaw) == 0 && !h.sealed && now.Sub(h.flushedAt) < FlushInterval {
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -152,6 +152,7 @@
 	candidates   []*FlushPlan // may still take effect
 	unresolved   bool
 	lastFlush    time.Time // last prepared
+	flushCredit  float64   // urgent flushes saved up at lastFlush
 	flushedAt    time.Time // last committed
 	flushFailing bool
 	sealed       bool
@@ -172,7 +173,7 @@
 		budgets: map[ID]*budgetState{}, lots: map[LotMark]*lotState{},
 		routers: map[Incarnation]*routerState{}, nextLot: 1,
 		committedSeq: record.FlushSeq, nextSeq: record.FlushSeq + 1,
-		lastFlush: now, flushedAt: now, heardEpoch: record.Epoch,
+		lastFlush: now, flushCredit: urgentFlushBurst, flushedAt: now, heardEpoch: record.Epoch,
 	}
 	exact := record.SealedEpoch != 0 && record.SealedEpoch+1 == record.Epoch
 	for id, b := range record.Budgets {
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -12,8 +12,14 @@
 	IdleAfter = 30 * time.Second
 	// FlushInterval is the time between periodic flushes of an active account.
 	FlushInterval = 60 * time.Second
-	// UrgentFlushInterval is the least time between two flushes of an account.
+	// UrgentFlushInterval is the mean time between urgent flushes of an account
+	// that always has a reason for one. It bounds the store calls of an account.
 	UrgentFlushInterval = time.Second
+	// urgentFlushGap is the least time between two flushes while the account has
+	// credit, so that the first requests of several budgets need not wait.
+	urgentFlushGap = 50 * time.Millisecond
+	// urgentFlushBurst is the largest credit, in flushes.
+	urgentFlushBurst = 4
 	// conflictRetry is the time until a flush that lost a race is repeated.
 	conflictRetry = 100 * time.Millisecond
 	// exhaustedRetry is how long a holder waits before it reads the treasury
@@ -66,9 +72,10 @@
 // LotSeconds returns the lot size in seconds of demand: 3 s to 10 s.
 func (p Policy) LotSeconds() float64 { return 3 + 7*p.weight() }
 
-// GrantWait returns how long a caller waits for a grant: 200 ms to 1,500 ms.
+// GrantWait returns how long a caller waits for a grant: 1,200 ms to 3,000 ms. A
+// shorter wait would end before an urgent flush that has to wait for its turn.
 func (p Policy) GrantWait() time.Duration {
-	return 200*time.Millisecond + time.Duration(1300*p.weight())*time.Millisecond
+	return 1200*time.Millisecond + time.Duration(1800*p.weight())*time.Millisecond
 }
 
 // Reserve returns the part of a balance that stays unallocated: 10% to 0%.
