Bound guesses of budgets and never replace parts of a body

A body whose bytes looked like a refusal of net/http at the start of a write was replaced by a problem body. Connections now know whether a handler answers; with that check taken out, TestBodyLikeRefusal fails with an unexpected end of the body. Refused keys of unknown budgets are bounded per workspace, since each can cost a call of the store.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -139,38 +139,3 @@
 	ok := errors.As(err, &e)
 	return e, ok
 }
-
-// modelEntry is a model in the published format.
-type modelEntry struct {
-	ID      string `json:"id"`
-	Object  string `json:"object"`
-	Created int64  `json:"created"`
-	OwnedBy string `json:"owned_by"`
-}
-
-type modelEntries struct {
-	Object string       `json:"object"`
-	Data   []modelEntry `json:"data"`
-}
-
-func newModelEntry(name string) modelEntry {
-	return modelEntry{ID: name, Object: "model", OwnedBy: "monsoonworks"}
-}
-
-func modelList(names []string) modelEntries {
-	list := modelEntries{Object: "list", Data: make([]modelEntry, 0, len(names))}
-	for _, name := range names {
-		list.Data = append(list.Data, newModelEntry(name))
-	}
-	return list
-}
-
-func serveOneModel(a *answer, who caller, name string) *verdict.Error {
-	for _, known := range who.workspace.Models {
-		if known == name {
-			a.json(newModelEntry(name))
-			return nil
-		}
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeNotFound, "the model %s does not exist or the workspace cannot use it", quoted(name))
-}
--- a/internal/gateway/auth.go
+++ b/internal/gateway/auth.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/time/rate"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
@@ -21,6 +23,16 @@
 	negativeTTL = 2 * time.Second
 	// negativeEntries bounds the refused keys that are remembered.
 	negativeEntries = 4096
+	// guessesPerSecond and guessBurst bound, for each workspace, the refused keys
+	// of budgets that have had no valid key yet. Each can cost a call of the
+	// store, and a caller could name any number of budgets.
+	guessesPerSecond = 10
+	guessBurst       = 50
+	// knownBudgets bounds the budgets that are remembered as having a valid key;
+	// it covers the 300,000 budgets of the target size over 390 routers twice.
+	knownBudgets = 2048
+	// guessingWorkspaces bounds the workspaces with a limit on guesses.
+	guessingWorkspaces = 1024
 )
 
 // errUnauthorized is the one answer to every key that does not work, so that it
@@ -42,14 +54,26 @@
 	directory Directory
 	wallet    Wallet
 	refused   *lru.Cache[[sha256.Size]byte, time.Time] // until when
+	known     *lru.Cache[budget.ID, struct{}]
+	guesses   *lru.Cache[string, *rate.Limiter] // by workspace
 }
 
 func newAuthenticator(directory Directory, wallet Wallet) *authenticator {
-	refused, err := lru.New[[sha256.Size]byte, time.Time](negativeEntries)
+	return &authenticator{
+		directory: directory,
+		wallet:    wallet,
+		refused:   newCache[[sha256.Size]byte, time.Time](negativeEntries),
+		known:     newCache[budget.ID, struct{}](knownBudgets),
+		guesses:   newCache[string, *rate.Limiter](guessingWorkspaces),
+	}
+}
+
+func newCache[K comparable, V any](size int) *lru.Cache[K, V] {
+	cache, err := lru.New[K, V](size)
 	if err != nil {
 		panic(err) // the size is a positive constant
 	}
-	return &authenticator{directory: directory, wallet: wallet, refused: refused}
+	return cache
 }
 
 // authenticate returns who sent a request with header h.
@@ -72,17 +96,42 @@
 		}
 		a.refused.Remove(hash)
 	}
+	guesses := a.guessLimit(id)
+	if guesses != nil && guesses.Tokens() < 1 {
+		const wait = time.Second
+		return caller{}, verdict.New(verdict.NotRun, verdict.CodeRateLimited, "too many API keys of unknown budgets were tried").WithRetryAfter(wait)
+	}
 	hashes, err := a.wallet.Keys(ctx, id)
 	if err != nil && verdict.CodeOf(err) != verdict.CodeNotFound {
 		return caller{}, asNotRun(err, "the API key cannot be checked")
 	}
 	if !contains(hashes, hash[:]) {
 		a.refused.Add(hash, time.Now().Add(negativeTTL))
+		if guesses != nil {
+			guesses.Allow()
+		}
 		return caller{}, errUnauthorized()
 	}
+	a.known.Add(id, struct{}{})
 	return caller{workspace: workspace, budget: id}, nil
 }
 
+// guessLimit returns the limit on refused keys that counts for a budget, nil if
+// the budget is known to have a valid key.
+func (a *authenticator) guessLimit(id budget.ID) *rate.Limiter {
+	if a.known.Contains(id) {
+		return nil
+	}
+	limiter, ok := a.guesses.Get(id.Workspace())
+	if !ok {
+		limiter = rate.NewLimiter(guessesPerSecond, guessBurst)
+		if earlier, found, _ := a.guesses.PeekOrAdd(id.Workspace(), limiter); found {
+			limiter = earlier
+		}
+	}
+	return limiter
+}
+
 // contains compares hash with all hashes in a time that does not depend on
 // where it is.
 func contains(hashes [][]byte, hash []byte) bool {
@@ -126,6 +175,10 @@
 	e := &verdict.Error{Verdict: verdict.NotRun, Code: verdict.CodeOf(err), Detail: detail, Err: err}
 	if known, ok := asVerdict(err); ok {
 		e.Detail, e.RetryAfter = known.Detail, known.RetryAfter
+	} else if errors.Is(err, context.Canceled) {
+		e.Code = verdict.CodeCanceled
+	} else if errors.Is(err, context.DeadlineExceeded) {
+		e.Code = verdict.CodeDeadline
 	}
 	return e
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -33,7 +33,7 @@
 	}
 	model, ok := g.opts.Directory.Model(req.model)
 	if !ok || !slices.Contains(who.workspace.Models, req.model) {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "the model %s does not exist or the workspace cannot use it", quoted(req.model))
+		return nil, errNoModel(req.model)
 	}
 	if req.maxOutput == 0 {
 		return nil, badRequest("max_tokens or max_completion_tokens is required")
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -35,6 +35,7 @@
 // ServeHTTP implements http.Handler. It does not use http.ServeMux, which
 // redirects paths that plain services must receive unchanged.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	beginAnswer(r.Context())
 	a := newAnswer(g, w, uuid.Must(uuid.NewV7()))
 	defer a.recoverPanic()
 	if r.ContentLength != 0 {
@@ -96,10 +97,10 @@
 	case path == pathCompletions && r.Method == http.MethodPost:
 		return g.serveModel(formatCompletion, a, r, who)
 	case path == pathModels && r.Method == http.MethodGet:
-		a.json(modelList(who.workspace.Models))
+		a.json(modelList(g.callableModels(who)))
 		return nil
 	case strings.HasPrefix(path, pathModels+"/") && r.Method == http.MethodGet:
-		return serveOneModel(a, who, path[len(pathModels)+1:])
+		return g.serveOneModel(a, who, path[len(pathModels)+1:])
 	case strings.HasPrefix(path, servicePrefix):
 		return g.serveService(a, r, who)
 	}
--- a/internal/gateway/input_test.go
+++ b/internal/gateway/input_test.go
@@ -231,6 +231,24 @@
 	c.Assert(err.Code, qt.Equals, verdict.CodeNotReady)
 }
 
+// Guards against callers that make the router ask for the keys of any number of
+// budgets, and against a limit on this that also hits working keys.
+func TestGuessedBudgets(t *testing.T) {
+	c := qt.New(t)
+	wallet := &fakeWallet{}
+	a := newAuthenticator(fakeDirectory{}, wallet)
+	valid := http.Header{"Authorization": {"Bearer " + testKey}}
+	_, err := a.authenticate(t.Context(), valid)
+	c.Assert(err == nil, qt.IsTrue)
+	for i := range 20 * guessBurst {
+		_, err = a.authenticate(t.Context(), http.Header{"Authorization": {fmt.Sprintf("Bearer mw_yukimi_b%d_x", i)}})
+	}
+	c.Assert(err.Code, qt.Equals, verdict.CodeRateLimited)
+	c.Assert(wallet.asked.Load() < 10*guessBurst, qt.IsTrue)
+	_, err = a.authenticate(t.Context(), valid)
+	c.Assert(err == nil, qt.IsTrue)
+}
+
 // Guards against a parser that panics or accepts a request without a bound.
 func FuzzParseModelRequest(f *testing.F) {
 	for _, seed := range []string{
--- a/internal/gateway/parse.go
+++ b/internal/gateway/parse.go
@@ -47,7 +47,7 @@
 	if !root.IsObject() {
 		return nil, badRequest("the body is not a JSON object")
 	}
-	members, err := membersOf(root)
+	members, err := membersOf(nil, root)
 	if err != nil {
 		return nil, err
 	}
@@ -66,10 +66,9 @@
 	return req, nil
 }
 
-// membersOf returns the members of an object. Duplicate names are an error,
-// because parsers differ in which of them counts.
-func membersOf(object gjson.Result) ([]member, *verdict.Error) {
-	members := make([]member, 0, 8)
+// membersOf appends the members of an object to an empty slice. Duplicate names
+// are an error, because parsers differ in which of them counts.
+func membersOf(members []member, object gjson.Result) ([]member, *verdict.Error) {
 	duplicate := ""
 	object.ForEach(func(key, value gjson.Result) bool {
 		for _, m := range members {
--- a/internal/gateway/prompt.go
+++ b/internal/gateway/prompt.go
@@ -34,6 +34,9 @@
 	tokens int
 	// head is at most the first hashedBytes of the text.
 	head []byte
+	// scratch holds the members of one message or part at a time; a body can
+	// have very many of them.
+	scratch []member
 }
 
 func (p *prompt) read(f format, value gjson.Result) *verdict.Error {
@@ -58,10 +61,11 @@
 	if !message.IsObject() {
 		return badRequest("a message must be an object")
 	}
-	members, err := membersOf(message)
+	members, err := membersOf(p.scratch[:0], message)
 	if err != nil {
 		return err
 	}
+	p.scratch = members
 	var role, content gjson.Result
 	for _, m := range members {
 		switch m.name {
@@ -111,10 +115,11 @@
 	if !part.IsObject() {
 		return badRequest("a content part must be an object")
 	}
-	members, err := membersOf(part)
+	members, err := membersOf(p.scratch[:0], part)
 	if err != nil {
 		return err
 	}
+	p.scratch = members
 	var text gjson.Result
 	for _, m := range members {
 		switch {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
-	"encoding/json"
+	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/google/uuid"
 
@@ -15,12 +17,10 @@
 // net/http answers a request that it cannot parse by itself, without a handler.
 // Such an answer has no verdict, so refusalConn replaces it with a problem body.
 
-// plainRefusal is the header that net/http puts on its own refusals. Answers of
-// handlers never have it, since they begin with other header fields.
+// plainRefusal is the header that net/http puts on its own refusals.
 var plainRefusal = []byte("\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n")
 
 // expectationFailed begins the answer of net/http to an unknown Expect header.
-// A backend server's own 417 passes through a handler and has a verdict.
 var expectationFailed = []byte("HTTP/1.1 417 Expectation Failed\r\n")
 
 // maxStatusLineBytes bounds the search for the end of a status line.
@@ -34,15 +34,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return refusalConn{conn}, nil
+	return &refusalConn{Conn: conn}, nil
 }
 
-type refusalConn struct{ net.Conn }
+// refusalConn is a caller's connection.
+type refusalConn struct {
+	net.Conn
+	// answering is set from the start of a handler until its answer was sent.
+	// Meanwhile nothing is replaced, because a body can hold the same bytes.
+	answering atomic.Bool
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// beginAnswer notes that a handler answers a request with context ctx.
+func beginAnswer(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*refusalConn); ok {
+		conn.answering.Store(true)
+	}
+}
+
+// connState notes that an answer was sent.
+func connState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*refusalConn); ok && state == http.StateIdle {
+		c.answering.Store(false)
+	}
+}
 
 // Write implements net.Conn.
-func (c refusalConn) Write(p []byte) (int, error) {
+func (c *refusalConn) Write(p []byte) (int, error) {
 	status, ok := refusedStatus(p)
-	if !ok {
+	if !ok || c.answering.Load() {
 		return c.Conn.Write(p)
 	}
 	if _, err := c.Conn.Write(refusalAnswer(status)); err != nil {
@@ -62,8 +89,7 @@
 	if end < 0 {
 		return 0, false
 	}
-	unexpected := bytes.HasPrefix(p, expectationFailed) && !bytes.Contains(p, []byte(headerVerdict))
-	if !unexpected && !bytes.HasPrefix(p[end:], plainRefusal) {
+	if !bytes.HasPrefix(p, expectationFailed) && !bytes.HasPrefix(p[end:], plainRefusal) {
 		return 0, false
 	}
 	status, err := strconv.Atoi(string(p[len(prefix) : len(prefix)+3]))
@@ -76,10 +102,7 @@
 	id := uuid.Must(uuid.NewV7()).String()
 	problem := verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request is not valid HTTP").Problem(id)
 	problem.Status = status
-	body, err := json.Marshal(problem)
-	if err != nil {
-		panic(err) // a struct of strings and integers
-	}
+	body := mustJSON(problem)
 	head := fmt.Sprintf("HTTP/1.1 %d Refused\r\nContent-Type: %s\r\nContent-Length: %d\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n",
 		status, verdict.ProblemContentType, len(body), headerRequestID, id, headerVerdict, verdict.NotRun)
 	return append([]byte(head), body...)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -22,14 +22,16 @@
 		ReadHeaderTimeout: g.opts.HeaderTimeout,
 		IdleTimeout:       g.opts.IdleTimeout,
 		MaxHeaderBytes:    g.opts.MaxHeaderBytes,
+		ConnContext:       withConn,
+		ConnState:         connState,
 		ErrorLog:          slog.NewLogLogger(g.opts.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
 // Serve accepts callers on ln until Shutdown. It returns nil after Shutdown.
 func (g *Gateway) Serve(ln net.Listener) error {
-	limited := netutil.LimitListener(refusalListener{ln}, g.opts.MaxConns)
-	if err := g.server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
+	limited := netutil.LimitListener(ln, g.opts.MaxConns)
+	if err := g.server.Serve(refusalListener{limited}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -237,6 +238,46 @@
 	c.Assert(send(t, "GET", url+"/svc/orders/x", "").StatusCode, qt.Equals, 502)
 }
 
+// Guards against a body that is replaced because a part of it looks like a
+// refusal of net/http itself.
+func TestBodyLikeRefusal(t *testing.T) {
+	c := qt.New(t)
+	refusal := "HTTP/1.1 400 Bad Request" + string(plainRefusal)
+	var do script
+	_, url := serveLoopback(t, testOptions(do.run))
+	for shift := range len(refusal) {
+		body := strings.Repeat(" ", shift) + strings.Repeat(refusal, 400)
+		do.set(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+			_ = s.Head(200, nil)
+			_ = s.Data(0, []byte(body))
+			return ranOutcome
+		})
+		c.Assert(readAll(t, send(t, "GET", url+"/svc/orders/x", "")) == body, qt.IsTrue, qt.Commentf("shift %d", shift))
+	}
+}
+
+// Guards against a caller that stops reading and so holds an engine slot.
+func TestStalledCaller(t *testing.T) {
+	c := qt.New(t)
+	failure := make(chan error, 1)
+	opts := testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, eventStreamHead)
+		event := append(bytes.Repeat([]byte(": "), 32<<10), "\n\n"...)
+		for {
+			if err := s.Data(1, event); err != nil {
+				failure <- err
+				return failed(verdict.Ran, verdict.CodeCanceled, "stalled")
+			}
+		}
+	})
+	opts.WriteStall = time.Millisecond
+	_, url := serveLoopback(t, opts)
+	resp := send(t, "POST", url+pathChat, streamBody)
+	c.Assert(<-failure, qt.ErrorIs, os.ErrDeadlineExceeded)
+	_, err := io.Copy(io.Discard, resp.Body)
+	c.Assert(err, qt.ErrorMatches, ".*EOF")
+}
+
 // Guards against an engine slot that stays in use after its caller is gone.
 func TestCallerDisconnects(t *testing.T) {
 	c := qt.New(t)
