--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -135,8 +135,13 @@
 	return nil
 }
 
-// breakStream ends a stream with an error event instead of its end.
-func (s *modelSink) breakStream(e *verdict.Error) {
+// breakStream ends a stream with an error event instead of its end. A request
+// of which the caller has a part is never called not-run.
+func (s *modelSink) breakStream(failure *verdict.Error) {
+	e := *failure
+	if e.Verdict == verdict.NotRun {
+		e.Verdict = verdict.Unknown
+	}
 	s.g.stats.broken.Inc(1)
 	s.g.stats.refused(e.Code)
 	var event bytes.Buffer
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -55,6 +55,7 @@
 		{"CRLF", [][]byte{[]byte("data: {}\r\n\r\ndata:[DONE]\r\n\r\n")}, ranOutcome, "data: {}\r\n\r\ndata:[DONE]\r\n\r\n", verdict.Ran, ""},
 		{"marker within a text", [][]byte{[]byte("data: \"[DONE]\"\n\n"), done}, ranOutcome, "data: \"[DONE]\"\n\n" + string(done), verdict.Ran, ""},
 		{"server lost", [][]byte{chunk(1)}, failed(verdict.Ran, verdict.CodeServerLost, "lost"), string(chunk(1)), verdict.Ran, verdict.CodeServerLost},
+		{"not-run after data", [][]byte{chunk(1)}, failed(verdict.NotRun, verdict.CodeNoServer, "x"), string(chunk(1)), verdict.Unknown, verdict.CodeNoServer},
 		{"lost within an event", [][]byte{chunk(1), half}, failed(verdict.Ran, verdict.CodeServerLost, "lost"), string(chunk(1)), verdict.Ran, verdict.CodeServerLost},
 		{"failure after the end", [][]byte{chunk(1), done}, failed(verdict.Unknown, verdict.CodeServerError, "x"), string(chunk(1)), verdict.Unknown, verdict.CodeServerError},
 		{"success without the end", [][]byte{chunk(1)}, ranOutcome, string(chunk(1)), verdict.Ran, verdict.CodeServerError},
