--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,8 +67,8 @@
 // Controller decides when requests start. It is safe for concurrent use.
 //
 // Lock order: the controller's mutex guards all of its tables and is a leaf: no
-// other lock is taken and nothing of the caller's is called while it is held,
-// but for the metrics, which have locks of their own. The RetryBudget has its
+// nothing of the caller's is called while it is held, and no other lock is taken
+// but those inside the rate limiters and the metrics. The RetryBudget has its
 // own mutex, also a leaf.
 type Controller struct {
 	opts    Options
