--- a/internal/route/policies.go
+++ b/internal/route/policies.go
@@ -102,8 +102,10 @@
 
 // DefaultStickiness is how much later the first token may come at a server that
 // was chosen for the prompt's prefix than at a random one. Going elsewhere costs
-// the prefill of the prefix there, and again when the conversation comes back.
-const DefaultStickiness = 30 * time.Millisecond
+// the prefill of the prefix there, and again when the conversation comes back. In
+// devel/policymodel, 100 ms instead of 0 saved 4 to 12% of the prefill tokens with
+// about the same time to the first token, and 300 ms made that longer.
+const DefaultStickiness = 100 * time.Millisecond
 
 // ProbedAffinity probes two servers that rendezvous hashing gives to the prompt's
 // prefix and a random one, and takes the one with the lowest expected time to the
