--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,6 +39,8 @@
 	claim   *wire.Claim
 	// slot is nil for an attempt of an earlier call with the same key.
 	slot *slot
+	// earlier is the attempt with the same key that was followed instead.
+	earlier *attempt
 
 	// unsent is set if the request did not leave this process.
 	unsent bool
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -285,6 +285,8 @@
 			qt.Assert(t, codeOf(out), qt.Equals, verdict.Code(""))
 			qt.Assert(t, sink.text, qt.Equals, wholeAnswer(first.Request))
 			qt.Assert(t, w.runs(again.Request), qt.Equals, 0)
+			qt.Assert(t, out.Hops[0].Attempt, qt.Equals, w.bills[0].Attempt)
+			qt.Assert(t, out.Hops[0].Billed, qt.Equals, budget.Tokens(0))
 		}
 		qt.Assert(t, w.runs(first.Request), qt.Equals, 1)
 		qt.Assert(t, w.billed(first.Request), qt.HasLen, 1)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -218,6 +218,7 @@
 		}
 		if earlier != nil {
 			a.slot.release()
+			a.earlier = earlier
 			return r.replay(earlier)
 		}
 	}
@@ -254,15 +255,18 @@
 }
 
 func (r *run) addHop(a *attempt, res result) {
-	hop := Hop{
-		Server: a.server.Name, Region: a.server.Region, Reason: a.reason, Attempt: a.id,
-		Reserved: a.slot.hold.Amount, Verdict: res.Verdict, Elapsed: time.Since(a.started),
-	}
+	hop := Hop{Verdict: res.Verdict, Elapsed: time.Since(a.started)}
 	if res.Err != nil {
 		hop.Code = res.Err.Code
 	}
-	if res.Bill != nil && res.Bill.Attempt == a.id {
-		hop.Billed = res.Bill.Amount
+	if a.earlier == nil {
+		hop.Reserved = a.slot.hold.Amount
+		if res.Bill != nil {
+			hop.Billed = res.Bill.Amount
+		}
+	} else {
+		a = a.earlier // this call reserves and pays nothing
 	}
+	hop.Server, hop.Region, hop.Reason, hop.Attempt = a.server.Name, a.server.Region, a.reason, a.id
 	r.hops = append(r.hops, hop)
 }
