Tighten tests of the agent and the engine's client

Cause: 17 deliberate faults were put into a scratch copy, and three passed: a chunk repeated after a resume, a 5xx status told as not run, and a stop of an attempt whose reader had just come back. Change: tests for these three, random histories that attach again, and failures instead of panics when a refusal is missing.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -192,10 +192,10 @@
 		b.Assert(unknown.done.Verdict, qt.Equals, verdict.Unknown)
 		b.Assert(b.resolve(req.Attempt, true).State, qt.Equals, wire.AttemptUnseen)
 		s := b.run(req)
-		b.Assert(s.refused.Code, qt.Equals, verdict.CodeFenced)
+		b.Assert(s.refusedFor(), qt.Equals, verdict.CodeFenced)
 		time.Sleep(2 * tombstoneRetention)
 		s = b.run(req) // the tombstone is dropped, the floor is not
-		b.Assert(s.refused.Code, qt.Equals, verdict.CodeFenced)
+		b.Assert(s.refusedFor(), qt.Equals, verdict.CodeFenced)
 		b.Assert(b.run(request()).refused, qt.IsNil)
 		b.Assert(b.engine.ran, qt.HasLen, 1)
 	})
@@ -211,9 +211,9 @@
 		b.Assert(reply.Running, qt.HasLen, 1)
 		b.Assert(reply.Running[0].Attempt, qt.Equals, running.Attempt)
 		b.Assert(reply.Claims, qt.HasLen, 1)
-		b.Assert(b.run(request()).refused.Code, qt.Equals, verdict.CodeFenced)
+		b.Assert(b.run(request()).refusedFor(), qt.Equals, verdict.CodeFenced)
 		other := func(r *wire.ExecRequest) { r.Router = routerB }
-		b.Assert(b.run(request(other, keyed)).refused.Code, qt.Equals, verdict.CodeFenced) // epoch 4
+		b.Assert(b.run(request(other, keyed)).refusedFor(), qt.Equals, verdict.CodeFenced) // epoch 4
 		b.Assert(b.run(request(other)).refused, qt.IsNil)
 		elsewhere := func(r *wire.ExecRequest) { r.Lot.Account.Shard++ }
 		b.Assert(b.run(request(elsewhere)).refused, qt.IsNil)
@@ -230,7 +230,7 @@
 func TestWrongIncarnationIsRefused(t *testing.T) {
 	inBench(t, Options{}, func(b *bench) {
 		old := b.run(request(func(r *wire.ExecRequest) { r.TargetBoot = uuid.New() }))
-		b.Assert(old.refused.Code, qt.Equals, verdict.CodeFenced)
+		b.Assert(old.refusedFor(), qt.Equals, verdict.CodeFenced)
 		s := newStream()
 		s.hangUp()
 		b.Assert(b.agent.checkRequest(wire.Hello{Name: "router-a", Boot: uuid.New()}, request()), qt.IsNotNil)
@@ -283,7 +283,7 @@
 		}
 		b.Assert(partial.done.Bill.Amount, qt.Equals, budget.Tokens(3))
 		b.Assert(whole.done.Bill, qt.IsNil) // no part of it was sent
-		b.Assert(b.run(request()).refused.Code, qt.Equals, verdict.CodeNoServer)
+		b.Assert(b.run(request()).refusedFor(), qt.Equals, verdict.CodeNoServer)
 		b.engine.fail(nil, nil, 0)
 		time.Sleep(2 * healthInterval)
 		b.Assert(b.run(request()).refused, qt.IsNil)
@@ -304,6 +304,18 @@
 	})
 }
 
+// Guards against an error status of the engine that is told as not run although
+// the engine may have begun.
+func TestStatusVerdicts(t *testing.T) {
+	c := qt.New(t)
+	for status, want := range map[int]verdict.Verdict{
+		400: verdict.NotRun, 404: verdict.NotRun, 413: verdict.NotRun, 429: verdict.NotRun, 503: verdict.NotRun,
+		302: verdict.Unknown, 409: verdict.Unknown, 500: verdict.Unknown, 502: verdict.Unknown, 504: verdict.Unknown,
+	} {
+		c.Assert(statusDone(&engine.StatusError{Status: status}).Verdict, qt.Equals, want, qt.Commentf("%d", status))
+	}
+}
+
 // Guards against work for nobody after a router died, and against a stop of what
 // must reach its end or is read again in time.
 func TestRouterGone(t *testing.T) {
@@ -319,6 +331,10 @@
 		}
 		time.Sleep(2 * time.Second)
 		again := b.attach(reread.Attempt, 0)
+		b.agent.mu.Lock()
+		at := b.agent.attempts[reread.Attempt]
+		b.agent.mu.Unlock()
+		b.agent.stopUnread(at) // the timer fired just when the reader came
 		time.Sleep(3 * time.Second)
 		b.Assert(b.resolve(dropped.Attempt, false).Done.Code, qt.Equals, verdict.CodeCanceled)
 		b.Assert(b.engine.canceled, qt.DeepEquals, []uuid.UUID{dropped.Attempt})
@@ -377,7 +393,7 @@
 			left, _ := b.agent.Drain(context.Background())
 			drained <- left
 		}()
-		b.Assert(b.run(request()).refused.Code, qt.Equals, verdict.CodeDraining)
+		b.Assert(b.run(request()).refusedFor(), qt.Equals, verdict.CodeDraining)
 		for i, s := range streams {
 			<-s.ended
 			b.Assert(s.tokens, qt.Equals, 10)
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/engine"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -181,6 +182,14 @@
 	})
 }
 
+// refusedFor returns the code of the refusal, empty if there was none.
+func (s *stubStream) refusedFor() verdict.Code {
+	if s.refused == nil {
+		return ""
+	}
+	return s.refused.Code
+}
+
 func (s *stubStream) text() string { return strings.Join(s.parts, "") }
 
 // chunks returns the JSON of the server-sent events.
@@ -277,13 +286,17 @@
 // attach continues an attempt in the background.
 func (b *bench) attach(attempt uuid.UUID, offset int) *stubStream {
 	s := newStream()
+	b.attachStream(attempt, offset, s)
+	return s
+}
+
+func (b *bench) attachStream(attempt uuid.UUID, offset int, s *stubStream) {
 	go func() {
 		defer close(s.ended)
 		defer s.hangUp()
 		b.agent.attach(context.Background(), s, &wire.Attach{Attempt: attempt, Offset: offset})
 	}()
 	synctest.Wait()
-	return s
 }
 
 func (b *bench) collect(args wire.CollectArgs) wire.CollectReply {
--- a/internal/agent/limits_test.go
+++ b/internal/agent/limits_test.go
@@ -57,10 +57,10 @@
 		running := b.start(request(long))
 		waits := b.start(request(long, func(r *wire.ExecRequest) { r.DeadlineMillis = 2500 }))
 		hopeless := b.run(request(long, func(r *wire.ExecRequest) { r.DeadlineMillis = 100 }))
-		b.Assert(hopeless.refused.Code, qt.Equals, verdict.CodeOverloaded)
+		b.Assert(hopeless.refusedFor(), qt.Equals, verdict.CodeOverloaded)
 		b.Assert(hopeless.refused.RetryAfterMillis > 0, qt.IsTrue)
 		third := b.start(request(long))
-		b.Assert(b.run(request(long)).refused.Code, qt.Equals, verdict.CodeOverloaded)
+		b.Assert(b.run(request(long)).refusedFor(), qt.Equals, verdict.CodeOverloaded)
 		<-waits.ended
 		b.Assert(waits.done.Verdict, qt.Equals, verdict.NotRun)
 		b.Assert(waits.done.Code, qt.Equals, verdict.CodeDeadline)
--- a/internal/agent/standin_test.go
+++ b/internal/agent/standin_test.go
@@ -78,7 +78,7 @@
 			b.Assert(s.done.Bill, qt.IsNil)
 			b.Assert(s.done.Crashed, qt.IsTrue)
 			b.Assert(b.reports, qt.HasLen, 1)
-			b.Assert(b.run(serviceRequest("GET", "/stock", true)).refused.Code, qt.Equals, verdict.CodeNoServer)
+			b.Assert(b.run(serviceRequest("GET", "/stock", true)).refusedFor(), qt.Equals, verdict.CodeNoServer)
 			b.Assert(ledger.Runs(), qt.HasLen, 3)
 
 			network.Reopen()
@@ -146,11 +146,13 @@
 		outcomes = append(outcomes, o)
 		time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 		switch random.IntN(10) {
-		case 0:
+		case 0, 1:
+			reattach(b, &outcomes[random.IntN(len(outcomes))])
+		case 2:
 			outcomes[random.IntN(len(outcomes))].stream.hangUp()
-		case 1:
+		case 3:
 			network.Cut(false)
-		case 2:
+		case 4:
 			select {
 			case outcomes[random.IntN(len(outcomes))].stream.cancel <- struct{}{}:
 			default:
@@ -161,6 +163,19 @@
 	return outcomes
 }
 
+// reattach ends a router's stream, and continues the answer on another one.
+func reattach(b *bench, o *outcome) {
+	o.stream.hangUp()
+	<-o.stream.ended
+	if o.stream.refused != nil || o.stream.done != nil {
+		return
+	}
+	next := newStream()
+	next.parts, next.tokens = o.stream.parts, o.stream.tokens
+	o.stream = next
+	b.attachStream(o.req.Attempt, len(next.parts), next)
+}
+
 func checkHistory(b *bench, outcomes []outcome, runs []standin.Run, seed uint64) {
 	byID := make(map[string]standin.Run)
 	for _, run := range runs {
@@ -229,7 +244,7 @@
 				b.Assert(s.done.Bill, qt.IsNil)
 			}
 			s := b.run(request(func(r *wire.ExecRequest) { r.Path = "/admin" }))
-			b.Assert(s.refused.Code, qt.Equals, verdict.CodeBadRequest)
+			b.Assert(s.refusedFor(), qt.Equals, verdict.CodeBadRequest)
 			b.Assert(e.Runs(), qt.HasLen, 0)
 		})
 	})
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -176,7 +176,7 @@
 			case r.Method == http.MethodPost:
 				_, _ = fmt.Fprintf(w, "id: 1\n%s\n\nid: 3\n%s\n\n", text, text)
 			default:
-				_, _ = fmt.Fprintf(w, "id: 2\n%s\n\nid: 3\n%s\n\ndata: [DONE]\n\n", text, text)
+				_, _ = fmt.Fprintf(w, "id: 1\n%s\n\nid: 2\n%s\n\nid: 3\n%s\n\ndata: [DONE]\n\n", text, text, text)
 			}
 		}))
 		client := New(opts)
