Bound the memory of finished attempts

Cause: a finished attempt with a short answer held 9.7 KB, mostly an 8 KB block for its answer, and the number of records was fixed.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,9 @@
 	DefaultSlots    = 32
 	DefaultMaxQueue = 256
 	DefaultMaxWait  = 10 * time.Second
+	// DefaultMaxRecords covers the key window of 1 hour at 2 keyed requests/s,
+	// with up to 2 KB for each.
+	DefaultMaxRecords = 1 << 13
 )
 
 // Intervals of the agent's loops.
@@ -54,6 +57,9 @@
 	// MaxQueue bounds the waiting requests, MaxWait their expected wait.
 	MaxQueue int
 	MaxWait  time.Duration
+	// MaxRecords bounds the finished attempts that are remembered. Those that
+	// are dropped before their retention ends are counted.
+	MaxRecords int
 	// OnCrash is told the fingerprints of the requests in progress when the
 	// server died. It must not block for long.
 	OnCrash func(wire.SuspectReport)
@@ -144,6 +150,9 @@
 	if o.MaxWait == 0 {
 		o.MaxWait = DefaultMaxWait
 	}
+	if o.MaxRecords == 0 {
+		o.MaxRecords = DefaultMaxRecords
+	}
 	if o.Metrics == nil {
 		o.Metrics = metrics.DefaultRegistry
 	}
@@ -159,7 +168,7 @@
 		est: newEstimator(), index: newPrefixIndex(), metrics: newCounters(opts.Metrics),
 		log:      opts.Logger.With("server", opts.Server, "pool", opts.Pool),
 		attempts: make(map[uuid.UUID]*attempt), queue: newFairQueue(),
-		running: make(map[*attempt]struct{}), ledger: newLedger(), memory: &memory{},
+		running: make(map[*attempt]struct{}), ledger: newLedger(), memory: &memory{maxRecords: opts.MaxRecords},
 		orders: orderGate{turn: make(chan struct{}, 1)}, changed: make(chan struct{}),
 	}
 	a.SetTargets(opts.Targets)
--- a/internal/agent/answer.go
+++ b/internal/agent/answer.go
@@ -19,8 +19,11 @@
 	// crowdedAnswerBytes.
 	crowdedBytes       = 12 << 20
 	crowdedAnswerBytes = 128 << 10
-	// arenaBytes is the size of the blocks that frames are kept in.
-	arenaBytes = 8 << 10
+	// minArenaBytes and maxArenaBytes bound the blocks that frames are kept in.
+	// Each block is twice as large as the one before, so that a short answer
+	// does not hold a large block.
+	minArenaBytes = 256
+	maxArenaBytes = 8 << 10
 )
 
 // frame is one part of an answer.
@@ -79,10 +82,10 @@
 	an.wakeLocked()
 }
 
-// append adds a part and copies data. It waits while the answer is over its
+// append adds a part, made of strings that are put together. It waits while the answer is over its
 // bound and a reader is behind; an answer without readers loses its oldest parts
 // instead.
-func (an *answer) append(ctx context.Context, tokens uint32, parts ...[]byte) error {
+func (an *answer) append(ctx context.Context, tokens uint32, parts ...string) error {
 	an.mu.Lock()
 	defer an.mu.Unlock()
 	for an.bytes > an.limit() && !an.trimLocked() {
@@ -107,13 +110,14 @@
 	return maxAnswerBytes
 }
 
-func (an *answer) storeLocked(tokens uint32, parts [][]byte) {
+func (an *answer) storeLocked(tokens uint32, parts []string) {
 	n := 0
 	for _, p := range parts {
 		n += len(p)
 	}
 	if cap(an.arena)-len(an.arena) < n {
-		an.arena = make([]byte, 0, max(n, arenaBytes))
+		size := min(max(2*cap(an.arena), minArenaBytes), maxArenaBytes)
+		an.arena = make([]byte, 0, max(n, size))
 	}
 	start := len(an.arena)
 	for _, p := range parts {
--- a/internal/agent/limits_test.go
+++ b/internal/agent/limits_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -97,7 +96,7 @@
 			}
 			at, r, refused := b.agent.admit(req, nil, &preparedBody{})
 			b.Assert(refused, qt.IsNil)
-			b.Assert(at.answer.append(context.Background(), 0, make([]byte, size)), qt.IsNil)
+			b.Assert(at.answer.append(context.Background(), 0, strings.Repeat("x", size)), qt.IsNil)
 			at.answer.detach(r)
 			time.Sleep(20 * time.Millisecond)
 			return at
@@ -145,13 +144,37 @@
 	})
 }
 
+// Guards against records that grow without bound, are dropped silently, or are
+// then told to be unseen.
+func TestRecordsAreBounded(t *testing.T) {
+	inBench(t, Options{MaxRecords: 3}, func(b *bench) {
+		var reqs []*wire.ExecRequest
+		for i := range 6 {
+			req := request()
+			if i < 2 {
+				keyed(req)
+			}
+			reqs = append(reqs, req)
+			b.run(req)
+		}
+		time.Sleep(2 * sweepInterval)
+		_, records := b.remembered()
+		b.Assert(records, qt.Equals, 3)
+		b.Assert(b.agent.metrics.recordsDropped.Count(), qt.Equals, int64(3))
+		b.Assert(b.collect(wire.CollectArgs{WithClaims: true}).Claims, qt.HasLen, 2)
+		for _, req := range reqs {
+			b.Assert(b.resolve(req.Attempt, true).State, qt.Not(qt.Equals), wire.AttemptUnseen)
+		}
+	})
+}
+
 // Guards against an answer that fills the memory while its reader is slow, and
 // against a reader that gets an answer with a hole.
 func TestRunningAnswerWaitsForItsReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		an := newAnswer(new(atomic.Int64))
-		part := bytes.Repeat([]byte("x"), 64<<10)
+		part := strings.Repeat("x", 64<<10)
 		slow := an.attach(0)
 		produced := make(chan int, 1)
 		go func() {
--- a/internal/agent/memory.go
+++ b/internal/agent/memory.go
@@ -21,13 +21,13 @@
 	deliveredRetention = 10 * time.Second
 	// maxKeptAnswerBytes bounds the finished answers.
 	maxKeptAnswerBytes = 8 << 20
-	// maxRecords bounds the finished attempts that are remembered.
-	maxRecords = 1 << 14
 )
 
 // memory lists the finished attempts in the order in which they finished. It is
 // guarded by the agent's lock.
 type memory struct {
+	// maxRecords bounds both lists together.
+	maxRecords     int
 	keyed, unkeyed []*attempt
 	// keptBytes is the size of the finished answers that are kept.
 	keptBytes int
@@ -104,7 +104,7 @@
 	for len(m.keyed) > 0 && ageOf(m.keyed[0].id, m.keyed[0].finishedAt, now) > keyedRetention {
 		m.keyed = drop(m.keyed)
 	}
-	for len(m.keyed)+len(m.unkeyed) > maxRecords {
+	for len(m.keyed)+len(m.unkeyed) > m.maxRecords {
 		early++
 		if len(m.unkeyed) > 0 {
 			m.unkeyed = drop(m.unkeyed)
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
@@ -157,24 +158,23 @@
 	return r.send(e.Tokens, e.JSON)
 }
 
-var (
-	dataPrefix = []byte("data: ")
-	eventEnd   = []byte("\n\n")
+const (
+	dataPrefix = "data: "
+	eventEnd   = "\n\n"
 )
 
 // send adds one server-sent event to the answer.
 func (r *modelRun) send(tokens uint32, text string) error {
-	data := []byte(text)
-	if bytes.ContainsAny(data, "\r\n") {
+	if strings.ContainsAny(text, "\r\n") {
 		// A line end outside of a JSON string would end the event's line.
 		var compact bytes.Buffer
-		if err := json.Compact(&compact, data); err != nil {
+		if err := json.Compact(&compact, []byte(text)); err != nil {
 			return err
 		}
-		data = compact.Bytes()
+		text = compact.String()
 	}
 	r.delivered = true
-	return r.at.answer.append(r.at.ctx, tokens, dataPrefix, data, eventEnd)
+	return r.at.answer.append(r.at.ctx, tokens, dataPrefix, text, eventEnd)
 }
 
 func streamHead(at *attempt) *wire.Head {
@@ -263,7 +263,7 @@
 	for len(whole) > 0 {
 		n := min(len(whole), wire.MaxFrameBytes)
 		r.delivered = true
-		if err := r.at.answer.append(r.at.ctx, tokens, whole[:n]); err != nil {
+		if err := r.at.answer.append(r.at.ctx, tokens, string(whole[:n])); err != nil {
 			return err
 		}
 		whole, tokens = whole[n:], 0
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -52,7 +52,7 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			if appendErr := at.answer.append(at.ctx, 0, buffer[:n]); appendErr != nil {
+			if appendErr := at.answer.append(at.ctx, 0, string(buffer[:n])); appendErr != nil {
 				return appendErr
 			}
 		}
