--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -46,6 +46,7 @@
 
 	dir      string
 	number   uint32
+	proxyAll bool
 	link     *rate.Limiter
 	storeURL string
 
@@ -74,6 +75,8 @@
 	Service service.Config
 	// Region and domain delays are emulated if Latency is set.
 	Latency bool
+	// ProxyAll puts a proxy before every host, also for its own region.
+	ProxyAll bool
 }
 
 // New starts the stand-ins and writes configuration and budgets to the store.
@@ -81,6 +84,7 @@
 	p := &Platform{
 		Spec: spec, Engines: map[string]*engine.Engine{}, Services: map[string]*service.Service{},
 		Nodes: map[string]settings.Settings{}, Keys: map[string]string{}, dir: o.Dir, number: platforms.Add(1),
+		proxyAll: o.ProxyAll,
 		proxies: map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
 		Store:    storeserver.New(memstore.New(memstore.Options{})),
 		HostList: hostlist.New(o.HostListLag),
@@ -275,20 +279,17 @@
 // PartitionRegions makes all connections between regions silent, or lets them
 // work again.
 func (p *Platform) PartitionRegions(on bool) {
-	for key, proxy := range p.farProxies() {
-		_ = key
+	for _, proxy := range p.farProxies() {
 		proxy.Partition(on)
 	}
 }
 
-// Proxies calls f with each proxy that leads from the region to the named host.
-func (p *Platform) Proxies(region, target string, f func(*faultproxy.Proxy)) {
+// Proxy returns the proxy through which a region reaches a host, nil if there is
+// none.
+func (p *Platform) Proxy(region, host string) *faultproxy.Proxy {
 	p.mu.Lock()
-	proxy := p.proxies[proxyKey{region, target}]
-	p.mu.Unlock()
-	if proxy != nil {
-		f(proxy)
-	}
+	defer p.mu.Unlock()
+	return p.proxies[proxyKey{region, host}]
 }
 
 // StoreProxy is the region's way to the store.
@@ -303,7 +304,11 @@
 	defer p.mu.Unlock()
 	out := map[proxyKey]*faultproxy.Proxy{}
 	for key, proxy := range p.proxies {
-		if key.target != storeTarget || key.region != p.Spec.StoreRegion {
+		region := p.Spec.StoreRegion
+		if key.target != storeTarget {
+			region = p.Nodes[key.target].Region
+		}
+		if key.region != region {
 			out[key] = proxy
 		}
 	}
@@ -347,8 +352,8 @@
 	}
 	seen := make([]hosts.Host, 0, list.Len())
 	for _, h := range list.All() {
-		if h.Region != v.region {
-			proxy, err := v.platform.proxy(proxyKey{v.region, h.Name}, h.Address, true)
+		if h.Region != v.region || v.platform.proxyAll {
+			proxy, err := v.platform.proxy(proxyKey{v.region, h.Name}, h.Address, h.Region != v.region)
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusInternalServerError)
 				return
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -65,7 +65,7 @@
 	if h.deposed || h.sealed || since < h.flushGap(now) {
 		return false
 	}
-	if h.needTreasury || since >= FlushInterval && (len(h.budgets) > 0 || len(h.lots) > 0) {
+	if h.needTreasury || since >= h.policy.FlushInterval() && (len(h.budgets) > 0 || len(h.lots) > 0) {
 		return true
 	}
 	pending := 0
@@ -120,7 +120,7 @@
 	h.flushCredit = max(0, h.flushCreditAt(now)-1)
 	h.lastFlush = now
 	h.planBills(p)
-	if p.Treasury == nil && p.Bills.Empty() && len(p.thaw) == 0 && !h.sealed && now.Sub(h.flushedAt) < FlushInterval {
+	if p.Treasury == nil && p.Bills.Empty() && len(p.thaw) == 0 && !h.sealed && now.Sub(h.flushedAt) < h.policy.FlushInterval() {
 		return nil, nil
 	}
 	h.planRecord(now, p)
--- a/internal/budget/policy.go
+++ b/internal/budget/policy.go
@@ -10,8 +10,14 @@
 	// IdleAfter is when an unused lot is closed and an idle region returns its
 	// share.
 	IdleAfter = 30 * time.Second
-	// FlushInterval is the time between periodic flushes of an active account.
-	FlushInterval = 60 * time.Second
+	// MaxFlushInterval and MinFlushInterval bound the time between periodic
+	// flushes of an active account.
+	MaxFlushInterval = 60 * time.Second
+	MinFlushInterval = 5 * time.Second
+	// flushesPerSecond is the store's share for periodic flushes of all
+	// accounts. It is a third of the budgets' 100 writes/s; the rest is for
+	// urgent ones.
+	flushesPerSecond = 33
 	// UrgentFlushInterval is the mean time between urgent flushes of an account
 	// that always has a reason for one. It bounds the store calls of an account.
 	UrgentFlushInterval = time.Second
@@ -46,7 +52,8 @@
 	// billInterval bounds how long a bill waits at a router before it is
 	// reported. The agent keeps it meanwhile.
 	billInterval = 5 * time.Second
-	// pendingInterval is the time between questions whether bills are durable.
+	// pendingInterval is the most time between questions whether bills are
+	// durable; it is shorter if flushes are more frequent.
 	pendingInterval = 15 * time.Second
 	// missingRetry is the time until an unmet wish is repeated.
 	missingRetry = 100 * time.Millisecond
@@ -65,6 +72,19 @@
 	// RefusalWeight, from 0 to 100, is the weight of false refusals against
 	// amounts out of reach. It never changes what may be spent.
 	RefusalWeight int
+	// Accounts is the number of accounts of the deployment, shards times
+	// regions; 0 counts as many.
+	Accounts int
+}
+
+// FlushInterval returns the time between periodic flushes of an active account.
+// It grows with the number of accounts, so that the store's load does not.
+func (p Policy) FlushInterval() time.Duration {
+	if p.Accounts <= 0 {
+		return MaxFlushInterval
+	}
+	interval := time.Duration(p.Accounts) * time.Second / flushesPerSecond
+	return min(max(interval, MinFlushInterval), MaxFlushInterval)
 }
 
 func (p Policy) weight() float64 { return float64(min(max(p.RefusalWeight, 0), 100)) / 100 }
--- a/internal/budget/walletexchange.go
+++ b/internal/budget/walletexchange.go
@@ -92,7 +92,7 @@
 		want(l.dirtyAt.Add(billInterval))
 	}
 	if len(l.bills) > 0 {
-		want(a.lastSent.Add(pendingInterval))
+		want(a.lastSent.Add(min(pendingInterval, w.policy.FlushInterval())))
 	}
 	if len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0 {
 		want(l.lastUse.Add(IdleAfter))
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -114,7 +114,8 @@
 }
 
 func (f fleet) policy() budget.Policy {
-	return budget.Policy{RefusalWeight: f.Config().Deployment.RefusalWeight}
+	d := f.Config().Deployment
+	return budget.Policy{RefusalWeight: d.RefusalWeight, Accounts: int(d.Shards) * len(d.Regions)}
 }
 
 // gatewayDirectory adapts the configuration to the gateway.
--- /dev/null
+++ b/test/e2e/audit_test.go
@@ -0,0 +1,77 @@
+package e2e
+
+import (
+	"context"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/operator"
+)
+
+// audit waits until all bills are durable and checks them against what the model
+// engines really ran: nothing is billed twice, every run that produced tokens is
+// billed or inside a listed loss, and no budget is overspent. It returns the sum
+// of the bills.
+func (d *deployment) audit() budget.Tokens {
+	d.c.Helper()
+	var total budget.Tokens
+	d.eventually(billedWithin, func() bool { return len(d.unbilled()) == 0 || d.lost() > 0 },
+		"runs without a bill: %v", d.unbilled())
+	billed := map[uuid.UUID]bool{}
+	requests := map[uuid.UUID]bool{}
+	for _, w := range d.Spec.Workspaces {
+		id := budget.MakeID(w.Name, "")
+		balance, err := d.Money.Balance(context.Background(), id)
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(balance.Unspent() >= 0, qt.IsTrue, qt.Commentf("%s is overspent: %+v", id, balance))
+		var sum budget.Tokens
+		for _, bill := range d.statement(id).Bills {
+			d.c.Assert(billed[bill.Attempt], qt.IsFalse, qt.Commentf("attempt %s is billed twice", bill.Attempt))
+			d.c.Assert(requests[bill.Request], qt.IsFalse, qt.Commentf("request %s is billed twice", bill.Request))
+			billed[bill.Attempt], requests[bill.Request] = true, true
+			sum += bill.Amount
+		}
+		d.c.Assert(sum <= balance.Paid-balance.Lost, qt.IsTrue, qt.Commentf("%s: bills of %d tokens, %+v", id, sum, balance))
+		total += sum
+	}
+	return total
+}
+
+func (d *deployment) statement(id budget.ID) operator.Statement {
+	statement, err := d.Money.Statement(context.Background(), id, d.Spec.RegionNames())
+	d.c.Assert(err, qt.IsNil)
+	return statement
+}
+
+// unbilled returns the runs at model engines that ended with tokens and have no
+// bill.
+func (d *deployment) unbilled() []string {
+	billed := map[string]bool{}
+	for _, w := range d.Spec.Workspaces {
+		for _, bill := range d.statement(budget.MakeID(w.Name, "")).Bills {
+			billed[bill.Attempt.String()] = true
+		}
+	}
+	var out []string
+	for name, e := range d.Engines {
+		for _, run := range e.Runs() {
+			if run.Tokens > 0 && !billed[run.ID] && !d.crashed[run.ID] {
+				out = append(out, name+"/"+run.ID+" "+run.Ending)
+			}
+		}
+	}
+	return out
+}
+
+// lost returns the sum of the losses that are listed for the operator.
+func (d *deployment) lost() budget.Tokens {
+	var sum budget.Tokens
+	for _, w := range d.Spec.Workspaces {
+		for _, loss := range d.statement(budget.MakeID(w.Name, "")).Losses {
+			sum += loss.Amount
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/test/e2e/connection_test.go
@@ -0,0 +1,94 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/devel/testbed"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// complete reports whether a streamed answer ended as complete.
+func complete(body string) bool { return strings.HasSuffix(strings.TrimSpace(body), "data: [DONE]") }
+
+// busyServer returns the server that runs the only request, and waits until it
+// has produced tokens.
+func (d *deployment) busyServer() string {
+	d.c.Helper()
+	busy := ""
+	d.eventually(10*time.Second, func() bool {
+		for name, e := range d.Engines {
+			for _, run := range e.Runs() {
+				if run.End.IsZero() && run.Tokens > 5 {
+					busy = name
+					return true
+				}
+			}
+		}
+		return false
+	}, "no server runs the request")
+	return busy
+}
+
+// Guards against an answer that is lost, or a request that runs twice, when the
+// connections between routers and agents go silent while new ones work.
+func TestSilentConnections(t *testing.T) {
+	d := start(t, testbed.Yukimi().Small(), testbed.Options{Engine: slowEngine(), ProxyAll: true})
+	done := make(chan answer, 1)
+	go func() {
+		done <- d.call("sapporo-a-router-1", "yukimi-00", http.MethodPost, "/v1/chat/completions",
+			d.chat("menu", 150, true), nil)
+	}()
+	server := d.busyServer()
+	d.Proxy("doo-central", server).Freeze()
+	frozen := time.Now()
+	a := <-done
+	d.c.Assert(a.err, qt.IsNil)
+	d.c.Assert(a.verdict, qt.Equals, "ran")
+	d.c.Assert(complete(a.body), qt.IsTrue, qt.Commentf("after %v: %s", time.Since(frozen), a.body[max(0, len(a.body)-400):]))
+	d.c.Assert(d.runs(), qt.Equals, 1)
+	d.audit()
+}
+
+// Guards against overspend, refusals and double bills while the regions cannot
+// reach each other, with a top-up meanwhile.
+func TestRegionPartition(t *testing.T) {
+	spec := testbed.Armor().Small()
+	spec.TopUp = 60_000
+	d := start(t, spec, testbed.Options{})
+	routers := []string{"quimper-router-1", "rennes-router-1"}
+	ask := func(router string, n int) (ok, refused int) {
+		for range n {
+			a := d.call(router, "armor-00", http.MethodPost, "/v1/chat/completions", d.chat("where to go next", 50, false), nil)
+			if a.status == http.StatusOK {
+				ok++
+			} else {
+				d.c.Assert(a.verdict, qt.Equals, "not-run", qt.Commentf("%+v", a))
+				d.c.Logf("refused by %s: %s", router, a.body)
+				refused++
+			}
+		}
+		return ok, refused
+	}
+	for _, router := range routers {
+		ok, refused := ask(router, 20)
+		d.c.Assert(refused, qt.Equals, 0, qt.Commentf("%d answered by %s", ok, router))
+	}
+	time.Sleep(2 * time.Second) // lets both regions draw their shares
+	d.PartitionRegions(true)
+	_, err := d.Money.TopUp(t.Context(), budget.MakeID("armor-00", ""), "second", 10_000)
+	d.c.Assert(err, qt.IsNil)
+	for _, router := range routers {
+		ok, refused := ask(router, 100)
+		d.c.Assert(refused, qt.Equals, 0, qt.Commentf("%d answered by %s in the partition", ok, router))
+	}
+	d.PartitionRegions(false)
+	for _, router := range routers {
+		d.eventually(20*time.Second, func() bool { ok, _ := ask(router, 1); return ok == 1 }, "%s does not answer", router)
+	}
+	d.audit()
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -60,6 +60,9 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
+	// crashed names runs whose server crashed, which cost nothing if no part of
+	// the answer was delivered.
+	crashed map[string]bool
 }
 
 type process struct {
@@ -80,7 +83,7 @@
 	defer cancel()
 	p, err := testbed.New(ctx, spec, o)
 	c.Assert(err, qt.IsNil)
-	d := &deployment{Platform: p, c: c, processes: map[string]*process{}}
+	d := &deployment{Platform: p, c: c, processes: map[string]*process{}, crashed: map[string]bool{}}
 	t.Cleanup(d.close)
 	for name := range p.Nodes {
 		d.run(name)
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -47,9 +47,9 @@
 	d.assertBilled(workspace, 3)
 }
 
-// billedWithin is how long bills may take to become durable: one flush interval
-// and a margin for a busy machine.
-const billedWithin = budget.FlushInterval + 30*time.Second
+// billedWithin is how long bills may take to become durable, with a margin for a
+// busy machine.
+const billedWithin = 60 * time.Second
 
 // assertBilled waits until the workspace's bills are durable and compares their
 // number.
--- /dev/null
+++ b/test/e2e/server_test.go
@@ -0,0 +1,105 @@
+package e2e
+
+import (
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/devel/testbed"
+	"github.com/monsoonworks/monsoonworks/internal/hosts"
+)
+
+// Guards against new work for a leaving server after 3 s, and against cutting
+// off what it runs.
+func TestLeavingServer(t *testing.T) {
+	d := start(t, testbed.Yukimi().Small(), testbed.Options{Engine: slowEngine(), HostListLag: 10 * time.Second})
+	done := make(chan answer, 1)
+	go func() {
+		done <- d.call("sapporo-a-router-1", "yukimi-00", http.MethodPost, "/v1/chat/completions",
+			d.chat("menu", 100, true), nil)
+	}()
+	server := d.busyServer()
+	before := len(d.Engines[server].Runs())
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.end(server, syscall.SIGTERM) }()
+	d.markLeaving(server)
+	time.Sleep(3 * time.Second) // the limit of the requirement
+	settled := len(d.Engines[server].Runs())
+	d.c.Assert(settled-before <= 1, qt.IsTrue)
+	for range 10 {
+		a := d.call("asahikawa-a-router-1", "yukimi-01", http.MethodPost, "/v1/chat/completions", d.chat("menu", 5, false), nil)
+		d.c.Assert(a.status, qt.Equals, http.StatusOK, qt.Commentf("%+v", a))
+	}
+	d.c.Assert(d.Engines[server].Runs(), qt.HasLen, settled)
+	a := <-done
+	d.c.Assert(a.err, qt.IsNil)
+	d.c.Assert(complete(a.body), qt.IsTrue)
+	d.c.Assert(<-stopped, qt.IsNil)
+	d.audit()
+}
+
+// markLeaving lists a host as leaving.
+func (d *deployment) markLeaving(name string) {
+	s := d.Nodes[name]
+	d.HostList.Put(hosts.Host{
+		Name: name, Address: s.Inner.Advertise, Role: s.Role, Region: s.Region, Domain: s.Domain,
+		Pool: s.Agent.Pool, Leaving: true,
+	})
+}
+
+// Guards against a request that brings down server after server while its caller
+// sends it again through every router.
+func TestCrashingRequest(t *testing.T) {
+	d := start(t, testbed.Yukimi().Small(), testbed.Options{})
+	routers := []string{"sapporo-a-router-1", "asahikawa-a-router-1", "kushiro-a-router-1"}
+	blocked := 0
+	for i := range 30 {
+		a := d.call(routers[i%len(routers)], "yukimi-00", http.MethodPost, "/v1/chat/completions",
+			d.chat("bad [[crash]] prompt", 20, false), nil)
+		d.c.Assert(a.status >= 400, qt.IsTrue, qt.Commentf("%+v", a))
+		if a.status == http.StatusUnprocessableEntity {
+			d.c.Assert(a.verdict, qt.Equals, "not-run")
+			blocked++
+		}
+	}
+	crashes := 0
+	for _, e := range d.Engines {
+		crashes += e.Restarts()
+	}
+	d.c.Assert(crashes > 0, qt.IsTrue)
+	d.c.Assert(crashes <= 3, qt.IsTrue, qt.Commentf("%d servers crashed", crashes))
+	d.c.Assert(blocked > 0, qt.IsTrue)
+	for _, router := range routers {
+		d.eventually(15*time.Second, func() bool {
+			return d.call(router, "yukimi-01", http.MethodPost, "/v1/chat/completions", d.chat("good", 5, false), nil).status == http.StatusOK
+		}, "%s does not serve other requests", router)
+	}
+	d.audit()
+}
+
+// Guards against a wrong verdict or a wrong bill when an agent dies with a
+// request in progress.
+func TestAgentDies(t *testing.T) {
+	d := start(t, testbed.Armor().Small(), testbed.Options{Engine: slowEngine()})
+	var wg sync.WaitGroup
+	var a answer
+	wg.Go(func() {
+		a = d.call("quimper-router-1", "armor-00", http.MethodPost, "/v1/chat/completions", d.chat("letter", 150, true), nil)
+	})
+	server := d.busyServer()
+	d.kill(server)
+	wg.Wait()
+	d.c.Assert(a.err, qt.IsNil)
+	d.c.Assert(a.verdict, qt.Equals, "ran", qt.Commentf("%+v", a))
+	d.c.Assert(complete(a.body), qt.IsFalse)
+	d.c.Assert(a.body, qt.Contains, "event: error")
+	d.c.Assert(a.body, qt.Contains, "server-lost")
+	d.audit()
+	bills := d.statement("armor-00/main").Bills
+	d.c.Assert(bills, qt.HasLen, 1)
+	d.c.Assert(bills[0].Estimated, qt.IsTrue)
+}
