--- a/internal/budget/book.go
+++ b/internal/budget/book.go
@@ -213,6 +213,9 @@
 	b.epochs[account] = max(b.epochs[account], epoch)
 }
 
+// Epoch returns the epoch of the account that the book enforces, 0 if none.
+func (b *Book) Epoch(account Account) uint64 { return b.epochs[account] }
+
 // SetClaimEpoch makes the book refuse claims of the account with a lower epoch.
 func (b *Book) SetClaimEpoch(account Account, epoch uint64) {
 	b.claims[account] = max(b.claims[account], epoch)
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -36,7 +36,8 @@
 	ConflictingBills int64
 	// LateBills were dropped because their lot was closed.
 	LateBills int64
-	// OverLimitBills were cut to their lot's limit. Each is a fault of an agent.
+	// OverLimitBills were cut to their lot's limit. Each is a fault of an agent,
+	// unless the account was taken over and this holder does not know it yet.
 	OverLimitBills int64
 	// StaleExchanges were ignored because a later one had arrived.
 	StaleExchanges int64
--- a/internal/budget/recover.go
+++ b/internal/budget/recover.go
@@ -13,7 +13,8 @@
 	// Routers holds the boot of the router that each bill was made for.
 	Routers []Boot
 	Running []RunningAttempt
-	// AccountEpoch is the epoch that the agent was asked to enforce, 0 if none.
+	// AccountEpoch is the epoch that the agent enforces for the account (see
+	// Book.Epoch). A higher one than the holder's own deposes it.
 	AccountEpoch uint64
 	// Fenced is the router that the agent was asked to refuse, for lots before
 	// FencedThrough; nil if none.
@@ -80,6 +81,7 @@
 // ApplyCollected takes over what an agent knows. It returns the attempts whose
 // bills the agent may delete at once; the others follow from FlushDone.
 func (h *Holder) ApplyCollected(now time.Time, c Collected) AckList {
+	h.ObserveEpoch(c.AccountEpoch)
 	if h.deposed || h.sealed {
 		return nil
 	}
@@ -253,7 +255,7 @@
 	h.adopt(now, router, rs, lots)
 	for i := range lots {
 		l := h.lots[lots[i].Lot.Mark()]
-		if l == nil || l.router != router || l.phase != lotOpen {
+		if l == nil || l.router.Boot != router.Boot || l.phase != lotOpen {
 			continue
 		}
 		for _, bill := range lots[i].Bills {
