Let routers give up lots, and correct shares, estimates and losses

Cause: the model and a steady load showed four faults. A region that started first took all of the balance. A bill that a router estimated could differ from the one that its holder had collected, so that the lot went over its limit. A lot adopted at a takeover counted as opened then, so that losses at agents that had died before were missed. A lot that agents refuse stayed in use for good. Change: a region returns what is far over its share, and a first wish counts as demand. An estimated bill uses up its whole reservation in its lot. Adopted lots have no opening time. Wallet.Abandon replaces a lot that agents refuse.

--- /dev/null
+++ b/internal/budget/bench_test.go
@@ -0,0 +1,175 @@
+package budget
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+var benchNow = time.Unix(1_800_000_000, 0)
+
+func benchID(i int) ID { return ID(fmt.Sprintf("workspace-%04d/budget-%04d", i%910, i)) }
+
+// benchRig has a holder and a wallet with n budgets, each with an open lot and
+// a few settled slots if lots is set.
+func benchRig(b testing.TB, n int, lots bool) (*Holder, *Wallet, *Treasury) {
+	account := Account{0, "region-east"}
+	t := NewTreasury(0)
+	inc := Incarnation{"router-0001", uuid.UUID{1}}
+	rec := TakeOver(account, nil, inc)
+	for i := range n {
+		id := benchID(i)
+		if err := t.CreateBudget(id); err != nil {
+			b.Fatal(err)
+		}
+		tb := t.Budgets[id]
+		tb.Paid = 1 << 40
+		tb.Drawn, tb.Demand = map[string]Tokens{account.Region: 1 << 30}, map[string]float64{account.Region: 100}
+		tb.Held = map[string]Tokens{account.Region: 1 << 30}
+		tb.KeyHashes = [][]byte{make([]byte, 32)}
+		rec.Budgets[id] = &AccountBudget{Drawn: 1 << 30, Spent: 1 << 20}
+	}
+	rec.SealedEpoch = rec.Epoch
+	h, err := NewHolder(benchNow, TakeOver(account, rec, inc), Policy{50})
+	if err != nil {
+		b.Fatal(err)
+	}
+	h.ObserveTreasury(benchNow, t)
+	w := NewWallet(inc, account.Region, 1, Policy{50})
+	if !lots {
+		return h, w, t
+	}
+	for i := range n {
+		w.SetWaiting(benchNow, benchID(i), 1000)
+	}
+	benchExchange(b, h, w, benchNow)
+	for i := range n {
+		w.SetWaiting(benchNow, benchID(i), 0)
+	}
+	return h, w, t
+}
+
+func benchExchange(b testing.TB, h *Holder, w *Wallet, now time.Time) (ExchangeRequest, ExchangeReply) {
+	req, ok := w.BuildExchange(now, h.Account())
+	if !ok {
+		b.Fatal("an exchange is in flight")
+	}
+	reply := h.Exchange(now, req)
+	w.ApplyReply(now, h.Account(), reply.Seq, &reply, nil)
+	return req, reply
+}
+
+// BenchmarkExchange measures a whole exchange, both sides, per lot. wire-B/lot
+// is the encoded size of request and answer.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1000} {
+		b.Run(fmt.Sprintf("lots=%d", n), func(b *testing.B) {
+			h, w, _ := benchRig(b, n, true)
+			b.ReportAllocs()
+			var req ExchangeRequest
+			var reply ExchangeReply
+			for b.Loop() {
+				req, reply = benchExchange(b, h, w, benchNow)
+			}
+			x, _ := recordEnc.Marshal(req)
+			y, _ := recordEnc.Marshal(reply)
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/lot")
+			b.ReportMetric(float64(len(x)+len(y))/float64(n), "wire-B/lot")
+		})
+	}
+}
+
+// BenchmarkReserveSettle measures one request at the wallet.
+func BenchmarkReserveSettle(b *testing.B) {
+	_, w, _ := benchRig(b, 1, true)
+	b.ReportAllocs()
+	for b.Loop() {
+		hold, _, ok := w.Reserve(benchNow, benchID(0), 10)
+		if !ok {
+			b.Fatal("no room")
+		}
+		if err := w.Settle(benchNow, hold, Bill{}, ""); err != nil {
+			b.Fatal(err)
+		}
+		w.budgets[benchID(0)].lot.unused = nil
+	}
+}
+
+// BenchmarkPrepareFlush measures planning and encoding a flush.
+func BenchmarkPrepareFlush(b *testing.B) {
+	for _, n := range []int{10, 100, 750} {
+		b.Run(fmt.Sprintf("budgets=%d", n), func(b *testing.B) {
+			h, _, t := benchRig(b, n, true)
+			b.ReportAllocs()
+			for b.Loop() {
+				plan, err := h.PrepareFlush(benchNow.Add(time.Hour), t)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := plan.Account.Encode(); err != nil {
+					b.Fatal(err)
+				}
+				h.FlushDone(benchNow, plan, FlushFailed)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/budget")
+		})
+	}
+}
+
+// heapBytes returns the live heap after f, compared with before it.
+func heapBytes(f func() any) (float64, any) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	keep := f()
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc), keep
+}
+
+// TestSizes prints the slopes from which capacity figures are worked out, and
+// guards against records of a target-size shard (750 budgets, each with lots of
+// 2 routers in the region) that exceed the store's largest value of 1 MB.
+func TestSizes(t *testing.T) {
+	const n = 750
+	encoded := func(v interface{ Encode() ([]byte, error) }) float64 {
+		data, err := v.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return float64(len(data))
+	}
+	idle, _, treasury := benchRig(t, n, false)
+	plan, err := idle.PrepareFlush(benchNow.Add(time.Hour), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, _, _ := benchRig(t, n, true)
+	withLots, err := h.PrepareFlush(benchNow.Add(time.Hour), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	perBudget := encoded(plan.Account) / n
+	perLot := (encoded(withLots.Account) - encoded(plan.Account)) / n
+	perTreasury := encoded(treasury) / n
+	block := &BillBlock{Bills: []Bill{{Lot: LotID{h.Account(), 3, 500}, Slot: 70_000, Budget: benchID(1),
+		Amount: 3000, Prompt: 2000, Output: 1000, Target: "model-name-70b", Server: "server-0001", UnixMilli: 1_800_000_000_000}}}
+	t.Logf("record bytes: account %.0f per active budget, %.0f per open lot; treasury %.0f per budget with 1 region, %.0f per bill",
+		perBudget, perLot, perTreasury, encoded(block))
+	if size := n * (perBudget + 2*perLot); size > 1<<20 || n*perTreasury*3 > 1<<20 {
+		t.Errorf("a shard of %d budgets does not fit: account %.0f B, treasury %.0f B", n, size, n*perTreasury)
+	}
+	mem := func(name string, per int, f func() any) {
+		bytes, keep := heapBytes(f)
+		t.Logf("memory: %s %.0f B", name, bytes/float64(per))
+		runtime.KeepAlive(keep)
+	}
+	mem("holder with treasury, per active budget", n, func() any { h, _, t := benchRig(t, n, false); return []any{h, t} })
+	mem("holder, wallet and treasury, per budget with an open lot", n, func() any { h, w, t := benchRig(t, n, true); return []any{h, w, t} })
+	mem("wallet alone, per budget with an open lot", n, func() any { _, w, _ := benchRig(t, n, true); return w })
+}
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -92,7 +92,7 @@
 			limit -= extra
 		}
 		h.openOrphan(l, limit, true)
-		l.opened, l.budget.lastUse = now, now
+		l.budget.lastUse = now
 	}
 }
 
@@ -163,7 +163,7 @@
 	if missing := h.whyUnknown(now, r.Budget); l == nil && missing != MissingNothing {
 		grant.Missing = missing
 		if missing == MissingPending {
-			h.noteUnmet(now, h.budget(r.Budget), r.Want)
+			h.noteUnmet(now, h.budget(r.Budget), max(r.Want, 1)) // a wish for keys has no amount
 		}
 		return grant
 	}
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -194,7 +194,12 @@
 	if back := b.returnable(now); back > 0 {
 		return move{back: back}
 	}
-	draw := h.share(b, tb)
+	// A wish that is not met yet counts as demand, so that the first draw of a
+	// starting region is its share and not only what the first caller needs.
+	draw, excess := h.share(b, tb, max(b.demand, float64(unmet)/demandWindow.Seconds()))
+	if excess > 0 && unmet == 0 {
+		return move{back: min(excess, max(0, free))}
+	}
 	left := tb.Unallocated()
 	if short := unmet - free; short > draw {
 		draw = min(short, left)
@@ -206,15 +211,16 @@
 }
 
 // share is the draw that brings this region to its share, by demand, of the
-// balance less the reserve. A draw of less than an eighth of the share waits,
-// so that a steady region does not write the treasury each time.
-func (h *Holder) share(b *budgetState, tb *TreasuryBudget) Tokens {
-	if b.demand == 0 {
-		return 0
+// balance less the reserve, or the excess over the share. A draw of less than an
+// eighth of the share waits, and so does an excess of less than a quarter, so
+// that a steady region does not write the treasury each time.
+func (h *Holder) share(b *budgetState, tb *TreasuryBudget, own float64) (draw, excess Tokens) {
+	if own == 0 {
+		return 0, 0
 	}
 	left := tb.Unallocated()
-	own := b.drawn - b.spent - b.lost - b.unreconciled
-	balance, demand := left+own, b.demand
+	has := b.drawn - b.spent - b.lost - b.unreconciled
+	balance, demand := left+has, own
 	for region, d := range tb.Demand {
 		if region != h.account.Region {
 			demand += d
@@ -226,12 +232,15 @@
 		}
 	}
 	reserve := h.policy.Reserve(balance)
-	target := scale(balance-reserve, b.demand/demand)
-	draw := min(target-own, left-reserve)
-	if draw <= 0 || draw < target/8 {
-		return 0
-	}
-	return draw
+	target := scale(balance-reserve, own/demand)
+	draw = min(target-has, left-reserve)
+	switch {
+	case has > target+target/4:
+		return 0, has - target
+	case draw <= 0 || draw < target/8:
+		return 0, 0
+	}
+	return draw, 0
 }
 
 // applyMove carries a move out on the new treasury.
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -82,7 +82,7 @@
 	pending       map[Slot]*heldBill
 	reserved      Tokens // as last reported
 	demand        float64
-	opened        time.Time
+	opened        time.Time // zero if a former holder opened it
 }
 
 // budgetState is a budget with escrow, lots or an unmet request.
@@ -224,6 +224,10 @@
 	h.treasury, h.seenAt = t, now
 }
 
+// TreasuryAt returns when the treasury was observed last. The caller reads it
+// again if a router asks for key hashes that may be out of date.
+func (h *Holder) TreasuryAt() time.Time { return h.seenAt }
+
 // BudgetBalance is the state of one budget at its holder, in tokens.
 type BudgetBalance struct {
 	Drawn, Spent, Lost, Free, Unreconciled, InLots Tokens
--- /dev/null
+++ b/internal/budget/policy_test.go
@@ -0,0 +1,363 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+)
+
+// rig is one account with its treasury, and wallets that exchange without
+// losses.
+type rig struct {
+	c        *qt.C
+	now      time.Time
+	treasury *Treasury
+	holders  []*Holder
+	wallets  []*Wallet
+	// counts of calls and of encoded bytes, requests and answers
+	exchanges, flushes, bytes int
+}
+
+func newRig(c *qt.C, paid Tokens, weight int, regions ...string) *rig {
+	g := &rig{c: c, now: time.Unix(1_800_000_000, 0), treasury: NewTreasury(0)}
+	c.Assert(g.treasury.CreateBudget(budgetA), qt.IsNil)
+	_, err := g.treasury.TopUp(budgetA, "t", paid)
+	c.Assert(err, qt.IsNil)
+	for i, region := range regions {
+		inc := Incarnation{region, uuid.UUID{byte(i + 1)}}
+		h, err := NewHolder(g.now, TakeOver(Account{0, region}, nil, inc), Policy{weight})
+		c.Assert(err, qt.IsNil)
+		h.ObserveTreasury(g.now, g.treasury)
+		g.holders = append(g.holders, h)
+		g.wallets = append(g.wallets, NewWallet(inc, region, 1, Policy{weight}))
+	}
+	return g
+}
+
+// exchange runs one exchange of wallet i with its region's holder.
+func (g *rig) exchange(i int) ReplyResult {
+	account := g.holders[i].Account()
+	req, ok := g.wallets[i].BuildExchange(g.now, account)
+	g.c.Assert(ok, qt.IsTrue)
+	reply := g.holders[i].Exchange(g.now, req)
+	for _, m := range []any{req, reply} {
+		data, err := recordEnc.Marshal(m)
+		g.c.Assert(err, qt.IsNil)
+		g.bytes += len(data)
+	}
+	g.exchanges++
+	result := g.wallets[i].ApplyReply(g.now, account, reply.Seq, &reply, nil)
+	for _, attempts := range result.Durable {
+		g.wallets[i].MarkAgentAcked(attempts)
+	}
+	g.c.Assert(g.wallets[i].Check(), qt.IsNil)
+	return result
+}
+
+// flush runs one flush of holder i.
+func (g *rig) flush(i int) {
+	h := g.holders[i]
+	h.ObserveTreasury(g.now, g.treasury)
+	plan, err := h.PrepareFlush(g.now, g.treasury)
+	g.c.Assert(err, qt.IsNil)
+	if plan == nil {
+		return
+	}
+	g.flushes++
+	if plan.Treasury != nil {
+		g.treasury = plan.Treasury
+	}
+	h.FlushDone(g.now, plan, FlushCommitted)
+	g.c.Assert(h.Check(), qt.IsNil)
+	g.c.Assert(g.treasury.Check(), qt.IsNil)
+}
+
+// tick advances the time and does what is due for wallet and holder i.
+func (g *rig) tick(i int, dt time.Duration) {
+	g.now = g.now.Add(dt)
+	for round := 0; round < 3; round++ {
+		if due, _ := g.wallets[i].Due(g.now); len(due) > 0 {
+			g.exchange(i)
+		}
+		if g.holders[i].FlushDue(g.now) {
+			g.flush(i)
+		}
+	}
+}
+
+// want asks for a lot of amount and flushes until it is there.
+func (g *rig) want(i int, amount Tokens) {
+	g.wallets[i].SetWaiting(g.now, budgetA, amount)
+	for range 4 {
+		g.tick(i, time.Second)
+	}
+	g.wallets[i].SetWaiting(g.now, budgetA, 0)
+}
+
+// TestSteadyLoad guards against a healthy system that refuses, or that needs
+// more exchanges and store calls than the design page allows for. 10 requests/s
+// of one budget run for 5 minutes.
+func TestSteadyLoad(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 1<<40, 50, "east")
+	g.want(0, 2000)
+	g.exchanges, g.flushes, g.bytes = 0, 0, 0
+	type running struct {
+		hold Hold
+		end  time.Time
+	}
+	var open []running
+	const seconds = 300
+	refused, waits := 0, 0
+	for i := range 10 * seconds {
+		g.tick(0, 100*time.Millisecond)
+		hold, _, ok := g.wallets[0].Reserve(g.now, budgetA, 2000)
+		if !ok {
+			waits++
+			g.wallets[0].SetWaiting(g.now, budgetA, 2000)
+			for waited := time.Duration(0); !ok && waited < (Policy{50}).GrantWait(); waited += missingRetry {
+				g.tick(0, missingRetry)
+				hold, _, ok = g.wallets[0].Reserve(g.now, budgetA, 2000)
+			}
+			g.wallets[0].SetWaiting(g.now, budgetA, 0)
+		}
+		if !ok {
+			refused++
+			continue
+		}
+		open = append(open, running{hold, g.now.Add(8 * time.Second)})
+		for len(open) > 0 && !open[0].end.After(g.now) {
+			bill := Bill{Request: uuid.UUID{byte(i), byte(i >> 8)}, Attempt: uuid.UUID{byte(i), byte(i >> 8)}, Amount: 700, Target: "model", Server: "server-1"}
+			c.Assert(g.wallets[0].Settle(g.now, open[0].hold, bill, "agent"), qt.IsNil)
+			open = open[1:]
+		}
+	}
+	t.Logf("per second: %.2f exchanges, %.0f B; %d flushes in %d s; %d of %d waited, %d refused",
+		float64(g.exchanges)/seconds, float64(g.bytes)/seconds, g.flushes, seconds, waits, 10*seconds, refused)
+	c.Assert(refused, qt.Equals, 0)
+	c.Assert(g.exchanges <= 2*seconds, qt.IsTrue)
+	c.Assert(g.flushes <= seconds/60+3, qt.IsTrue)
+	c.Assert(g.bytes <= 10_000*seconds, qt.IsTrue)
+	for len(open) > 0 {
+		c.Assert(g.wallets[0].Release(g.now, open[0].hold), qt.IsNil)
+		open = open[1:]
+	}
+	for range 150 {
+		g.tick(0, time.Second)
+	}
+	b := g.treasury.Budgets[budgetA]
+	c.Assert(b.Drawn, qt.HasLen, 0)
+	c.Assert(b.Settled, qt.Equals, Tokens(700*(10*seconds-80)))
+}
+
+// TestShares guards against an uneven split: the balance less the reserve is
+// placed in proportion to demand, and the reserve follows the policy weight.
+func TestShares(t *testing.T) {
+	c := qt.New(t)
+	for weight, reserve := range map[int]Tokens{0: 100_000, 50: 50_000, 100: 0} {
+		g := newRig(c, 1_000_000, weight, "east", "west")
+		east, west := g.holders[0].budget(budgetA), g.holders[1].budget(budgetA)
+		east.demand, west.demand = 300, 100
+		east.lastUse, west.lastUse = g.now, g.now
+		for range 4 {
+			g.now = g.now.Add(time.Second)
+			g.flush(0)
+			g.flush(1)
+		}
+		b := g.treasury.Budgets[budgetA]
+		c.Assert(b.Unallocated() >= reserve, qt.IsTrue, qt.Commentf("%d of %d", b.Unallocated(), reserve))
+		c.Assert(float64(b.Drawn["east"]) <= 0.85*float64(1_000_000-reserve), qt.IsTrue, qt.Commentf("%v", b.Drawn))
+		c.Assert(float64(b.Drawn["west"]) >= 0.15*float64(1_000_000-reserve), qt.IsTrue, qt.Commentf("%v", b.Drawn))
+	}
+}
+
+// TestReturnForOtherRegion guards against balance that stays in a region that
+// does not need it while another one refuses, and against a refusal that claims
+// more than is known.
+func TestReturnForOtherRegion(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 1000, 50, "east", "west")
+	g.want(0, 1000)
+	c.Assert(g.treasury.Budgets[budgetA].Drawn["east"], qt.Equals, Tokens(1000))
+	g.wallets[1].SetWaiting(g.now, budgetA, 300)
+	g.exchange(1)
+	c.Assert(g.wallets[1].Missing(budgetA), qt.Equals, MissingPending)
+	g.now = g.now.Add(time.Second)
+	g.flush(1)
+	g.exchange(1)
+	unmet := g.holders[1].Unmet(g.now)
+	c.Assert(unmet, qt.HasLen, 1)
+	c.Assert(unmet[0].Regions, qt.DeepEquals, []string{"east"})
+	g.holders[0].ReturnRequest(g.now, budgetA, 300) // recalls the lot
+	c.Assert(g.holders[0].RecallTargets(budgetA), qt.HasLen, 1)
+	g.exchange(0)
+	g.now = g.now.Add(100 * time.Millisecond)
+	c.Assert(g.exchange(0).Applied, qt.IsTrue)
+	can := g.holders[0].ReturnRequest(g.now, budgetA, 300)
+	c.Assert(can, qt.Equals, Tokens(300))
+	g.now = g.now.Add(time.Second)
+	c.Assert(g.holders[0].FlushDue(g.now), qt.IsTrue)
+	g.flush(0)
+	g.holders[1].ReturnAnswered(g.now, budgetA, "east", true, can)
+	c.Assert(g.holders[1].FlushDue(g.now), qt.IsTrue)
+	g.flush(1)
+	g.exchange(1)
+	_, _, ok := g.wallets[1].Reserve(g.now, budgetA, 300)
+	c.Assert(ok, qt.IsTrue)
+}
+
+// TestMissingReasons guards against wrong reasons of a refusal, and against a
+// spent budget that costs a store call per second.
+func TestMissingReasons(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 100, 50, "east")
+	g.wallets[0].SetWaiting(g.now, "armor/none", 10)
+	g.exchange(0)
+	c.Assert(g.wallets[0].Missing("armor/none"), qt.Equals, MissingBudget)
+	g.wallets[0].SetWaiting(g.now, "armor/none", 0)
+	g.want(0, 100)
+	_, _, ok := g.wallets[0].Reserve(g.now, budgetA, 100)
+	c.Assert(ok, qt.IsTrue)
+	calls := 0
+	for range 60 {
+		g.now = g.now.Add(500 * time.Millisecond)
+		g.wallets[0].SetWaiting(g.now, budgetA, 10)
+		g.exchange(0)
+		if g.holders[0].FlushDue(g.now) {
+			calls++
+			g.flush(0)
+		}
+	}
+	c.Assert(g.wallets[0].Missing(budgetA), qt.Equals, MissingExhausted)
+	c.Assert(calls <= 8, qt.IsTrue, qt.Commentf("%d calls in 30 s", calls))
+	plan, err := g.holders[0].PrepareFlush(g.now.Add(time.Hour), g.treasury)
+	c.Assert(err, qt.IsNil)
+	g.holders[0].FlushDone(g.now, plan, FlushFailed)
+	g.wallets[0].SetWaiting(g.now, budgetA, 10)
+	g.exchange(0)
+	c.Assert(g.wallets[0].Missing(budgetA), qt.Equals, MissingUnreachable)
+}
+
+// TestOldMessages guards against a delayed or repeated exchange that brings back
+// an older limit, and against answers of a replaced holder.
+func TestOldMessages(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 1000, 0, "east")
+	g.want(0, 400)
+	account := g.holders[0].Account()
+	old, _ := g.wallets[0].BuildExchange(g.now, account)
+	g.wallets[0].ApplyReply(g.now, account, old.Seq, nil, ErrLotGone) // timed out
+	g.now = g.now.Add(IdleAfter)
+	g.exchange(0) // closes the idle lot
+	before, _ := g.holders[0].Balance(budgetA)
+	c.Assert(before.InLots, qt.Equals, Tokens(0))
+	reply := g.holders[0].Exchange(g.now, old)
+	after, _ := g.holders[0].Balance(budgetA)
+	c.Assert(after, qt.Equals, before)
+	c.Assert(g.holders[0].Counters().StaleExchanges, qt.Equals, int64(1))
+	c.Assert(g.wallets[0].ApplyReply(g.now, account, old.Seq, &reply, nil).Applied, qt.IsFalse)
+	req, _ := g.wallets[0].BuildExchange(g.now, account)
+	g.wallets[0].ObserveEpoch(account, 7)
+	reply = g.holders[0].Exchange(g.now, req)
+	c.Assert(g.wallets[0].ApplyReply(g.now, account, req.Seq, &reply, nil).Applied, qt.IsFalse)
+	g.now = g.now.Add(time.Second)
+	g.exchange(0)
+	c.Assert(g.holders[0].Deposed(), qt.IsTrue)
+}
+
+// TestBook guards against agents that run what they must refuse.
+func TestBook(t *testing.T) {
+	c := qt.New(t)
+	self, router := Incarnation{"agent", uuid.UUID{1}}, Incarnation{"router", uuid.UUID{2}}
+	account := Account{0, "east"}
+	b := NewBook(self)
+	adm := Admission{Attempt: uuid.UUID{3}, Router: router, TargetBoot: self.Boot, Budget: budgetA,
+		Lot: LotID{account, 2, 5}, Slot: 1, Reserve: 10, AccountEpoch: 2, ClaimAccount: account, ClaimEpoch: 2}
+	c.Assert(b.Admit(adm), qt.ErrorIs, ErrUnconfirmed)
+	b.Confirm(map[Account]uint64{account: 2})
+	for want, change := range map[error]func(*Admission){
+		ErrWrongBoot: func(a *Admission) { a.TargetBoot = router.Boot },
+		ErrTombstone: func(a *Admission) { a.Attempt = uuid.UUID{4} },
+		ErrFenced:    func(a *Admission) { a.Lot.Num = 4 },
+		ErrOldEpoch:  func(a *Admission) { a.AccountEpoch = 1 },
+		ErrOldClaim:  func(a *Admission) { a.ClaimEpoch = 1 },
+	} {
+		c.Assert(b.Tombstone(uuid.UUID{4}), qt.IsTrue)
+		b.Fence(account, router, LotMark{2, 5})
+		b.Fence(account, router, LotMark{2, 3}) // a delayed order does not lower it
+		b.SetClaimEpoch(account, 2)
+		bad := adm
+		change(&bad)
+		c.Assert(b.Admit(bad), qt.ErrorIs, want)
+	}
+	c.Assert(b.Admit(adm), qt.IsNil)
+	c.Assert(b.Admit(adm), qt.ErrorIs, ErrKnownAttempt)
+	bill := b.Finish(adm.Attempt, Bill{Amount: 13})
+	c.Assert(bill.Amount, qt.Equals, Tokens(10))
+	c.Assert(b.Absorbed(), qt.Equals, Tokens(3))
+	c.Assert(b.Finish(adm.Attempt, Bill{Amount: 4}), qt.Equals, bill)
+	bills, routers, running := b.Collect(account)
+	c.Assert(bills, qt.DeepEquals, []Bill{*bill})
+	c.Assert(routers, qt.DeepEquals, []Boot{router.Boot})
+	c.Assert(running, qt.HasLen, 0)
+	b.Ack([]uuid.UUID{adm.Attempt})
+	c.Assert(b.entries, qt.HasLen, 0)
+}
+
+// TestHandover guards against a planned stop that puts escrow out of reach: the
+// successor of a sealed holder has all amounts at once, and routers go on.
+func TestHandover(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 10_000, 50, "east")
+	g.want(0, 1000)
+	hold, _, ok := g.wallets[0].Reserve(g.now, budgetA, 400)
+	c.Assert(ok, qt.IsTrue)
+	old := g.holders[0]
+	before, _ := old.Balance(budgetA)
+	c.Assert(old.Seal(), qt.IsNil)
+	g.now = g.now.Add(time.Second)
+	plan, err := old.PrepareFlush(g.now, nil)
+	c.Assert(err, qt.IsNil)
+	old.FlushDone(g.now, plan, FlushCommitted)
+	c.Assert(g.exchange(0).NotHolder, qt.IsTrue)
+	next, err := NewHolder(g.now, TakeOver(old.Account(), plan.Account, Incarnation{"next", uuid.UUID{9}}), Policy{50})
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.Reconciling(), qt.IsFalse)
+	after, _ := next.Balance(budgetA)
+	c.Assert(after.Free, qt.Equals, before.Free)
+	c.Assert(after.InLots, qt.Equals, before.InLots)
+	g.holders[0] = next
+	next.ObserveTreasury(g.now, g.treasury)
+	bill := Bill{Request: uuid.UUID{1}, Attempt: uuid.UUID{1}, Amount: 300}
+	c.Assert(g.wallets[0].Settle(g.now, hold, bill, "agent"), qt.IsNil)
+	for range 120 {
+		g.tick(0, time.Second)
+	}
+	c.Assert(g.treasury.Budgets[budgetA].Settled, qt.Equals, Tokens(300))
+	c.Assert(g.treasury.Budgets[budgetA].Unallocated(), qt.Equals, Tokens(9700))
+}
+
+// TestAbandonedLot guards against a router that cannot use a budget any more
+// after agents were told to refuse its lot.
+func TestAbandonedLot(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 10_000, 50, "east")
+	g.want(0, 1000)
+	hold, _, ok := g.wallets[0].Reserve(g.now, budgetA, 400)
+	c.Assert(ok, qt.IsTrue)
+	g.wallets[0].Abandon(hold)
+	_, _, ok = g.wallets[0].Reserve(g.now, budgetA, 400)
+	c.Assert(ok, qt.IsFalse)
+	g.want(0, 1000)
+	second, _, ok := g.wallets[0].Reserve(g.now, budgetA, 400)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(second.Lot, qt.Not(qt.Equals), hold.Lot)
+	c.Assert(g.wallets[0].Release(g.now, hold), qt.IsNil)
+	c.Assert(g.wallets[0].Release(g.now, second), qt.IsNil)
+	for range 120 {
+		g.tick(0, time.Second)
+	}
+	c.Assert(g.treasury.Budgets[budgetA].Unallocated(), qt.Equals, Tokens(10_000))
+}
--- /dev/null
+++ b/internal/budget/record_test.go
@@ -0,0 +1,207 @@
+package budget
+
+import (
+	"errors"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+)
+
+func sampleTreasury(c *qt.C) *Treasury {
+	t := NewTreasury(3)
+	c.Assert(t.CreateBudget(budgetA), qt.IsNil)
+	fresh, err := t.TopUp(budgetA, "invoice-1", 1000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(fresh, qt.IsTrue)
+	c.Assert(t.SetKeys(budgetA, [][]byte{make([]byte, keyHashBytes)}), qt.IsNil)
+	c.Assert(t.Draw(budgetA, "east", 400), qt.IsNil)
+	return t
+}
+
+func sampleAccount() *AccountRecord {
+	inc := Incarnation{"router", uuid.UUID{1}}
+	a := TakeOver(Account{3, "east"}, nil, inc)
+	a.Budgets[budgetA] = &AccountBudget{Drawn: 400, Spent: 30, Lost: 5}
+	a.Lots = []AccountLot{{Mark: LotMark{1, 1}, Router: inc, Budget: budgetA, Limit: 50, Settled: IntervalSet{1, 4}, Billed: 30}}
+	return a
+}
+
+// TestDamagedRecords guards against a damaged record that is taken as valid: any
+// changed byte, and any cut, must be an error.
+func TestDamagedRecords(t *testing.T) {
+	c := qt.New(t)
+	treasury, err := sampleTreasury(c).Encode()
+	c.Assert(err, qt.IsNil)
+	account, err := sampleAccount().Encode()
+	c.Assert(err, qt.IsNil)
+	holder, err := HolderRecord{Epoch: 2, Name: "r", Address: "127.0.0.1:1"}.Encode()
+	c.Assert(err, qt.IsNil)
+	block, err := (&BillBlock{Epoch: 1, Seq: 2, Bills: []Bill{{Slot: 1, Amount: 5}}}).Encode()
+	c.Assert(err, qt.IsNil)
+	records := []struct {
+		data   []byte
+		decode func([]byte) error
+	}{
+		{treasury, func(b []byte) error { _, err := DecodeTreasury(b); return err }},
+		{account, func(b []byte) error { _, err := DecodeAccount(b); return err }},
+		{holder, func(b []byte) error { _, err := DecodeHolder(b); return err }},
+		{block, func(b []byte) error { _, err := DecodeBillBlock(b); return err }},
+	}
+	for _, r := range records {
+		c.Assert(r.decode(r.data), qt.IsNil)
+		for i := range r.data {
+			bad := append([]byte(nil), r.data...)
+			bad[i] ^= 0x40
+			err := r.decode(bad)
+			c.Assert(errors.Is(err, ErrDamaged) || errors.Is(err, ErrRecordVersion), qt.IsTrue, qt.Commentf("byte %d: %v", i, err))
+			c.Assert(r.decode(r.data[:i]), qt.ErrorIs, ErrDamaged)
+		}
+	}
+}
+
+// TestContradictingRecords guards against records with a right checksum and
+// amounts that cannot be.
+func TestContradictingRecords(t *testing.T) {
+	c := qt.New(t)
+	tr := sampleTreasury(c)
+	tr.Budgets[budgetA].Drawn["west"] = 601
+	data, err := tr.Encode()
+	c.Assert(err, qt.IsNil)
+	_, err = DecodeTreasury(data)
+	c.Assert(err, qt.ErrorIs, ErrDamaged)
+	var invariant *InvariantError
+	c.Assert(errors.As(err, &invariant), qt.IsTrue)
+	for _, change := range []func(a *AccountRecord){
+		func(a *AccountRecord) { a.Budgets[budgetA].Lost = 371 },
+		func(a *AccountRecord) { a.Lots[0].Billed = 51 },
+		func(a *AccountRecord) { a.Lots[0].Limit, a.Lots[0].Billed = 0, 31 },
+		func(a *AccountRecord) { a.Lots[0].Settled = IntervalSet{1, 4, 5, 6} },
+		func(a *AccountRecord) { a.Lots[0].Mark.Epoch = 2 },
+		func(a *AccountRecord) { a.Lots[0].Budget = budgetB },
+	} {
+		a := sampleAccount()
+		change(a)
+		data, err := a.Encode()
+		c.Assert(err, qt.IsNil)
+		_, err = DecodeAccount(data)
+		c.Assert(err, qt.ErrorIs, ErrDamaged)
+	}
+}
+
+// fuzzRecord checks that decoding never panics and that what decodes encodes to
+// something that decodes again.
+func fuzzRecord[T interface{ Encode() ([]byte, error) }](f *testing.F, decode func([]byte) (T, error), seeds ...T) {
+	for _, s := range seeds {
+		data, err := s.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+		f.Add(data[:len(data)/2])
+		f.Add(data[recordHeaderBytes:])
+	}
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		body, err := encodeRecord(struct{}{})
+		if err == nil && len(data) > 0 {
+			// The checksum is made right, so that the body is decoded.
+			body, err = encodeRecord(rawBody(data))
+		}
+		if err != nil {
+			body = data
+		}
+		for _, in := range [][]byte{data, body} {
+			v, err := decode(in)
+			if err != nil {
+				continue
+			}
+			again, err := v.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := decode(again); err != nil {
+				t.Fatalf("decoded once and not again: %v", err)
+			}
+		}
+	})
+}
+
+// rawBody is encoded as it is.
+type rawBody []byte
+
+// MarshalCBOR implements cbor.Marshaler.
+func (b rawBody) MarshalCBOR() ([]byte, error) { return b, nil }
+
+func FuzzTreasury(f *testing.F) {
+	fuzzRecord(f, DecodeTreasury, sampleTreasury(qt.New(f)), NewTreasury(1))
+}
+
+func FuzzAccount(f *testing.F) { fuzzRecord(f, DecodeAccount, sampleAccount()) }
+
+func FuzzHolderRecord(f *testing.F) {
+	fuzzRecord(f, DecodeHolder, HolderRecord{Epoch: 1, Name: "r", Address: "127.0.0.1:80"})
+}
+
+func FuzzBillBlock(f *testing.F) {
+	fuzzRecord(f, DecodeBillBlock, &BillBlock{Epoch: 1, Bills: []Bill{{Slot: 1, Amount: 2, Target: "m"}}, Losses: []Loss{{Amount: 1}}})
+}
+
+// TestTreasury guards against top-ups that count twice and against operations
+// that take the unallocated balance below zero or change it when they fail.
+func TestTreasury(t *testing.T) {
+	c := qt.New(t)
+	tr := sampleTreasury(c)
+	b := tr.Budgets[budgetA]
+	fresh, err := tr.TopUp(budgetA, "invoice-1", 1000)
+	c.Assert(err, qt.IsNil)
+	c.Assert(fresh, qt.IsFalse)
+	_, err = tr.TopUp(budgetA, "invoice-1", 999)
+	c.Assert(err, qt.ErrorIs, ErrTopUpMismatch)
+	_, err = tr.TopUp(budgetA, "invoice-2", 0)
+	c.Assert(err, qt.ErrorIs, ErrBadAmount)
+	_, err = tr.TopUp(budgetA, "invoice-2", 1<<63-1)
+	c.Assert(err, qt.ErrorIs, ErrBadAmount)
+	_, err = tr.TopUp(budgetB, "invoice-2", 1)
+	c.Assert(err, qt.ErrorIs, ErrNoBudget)
+	c.Assert(tr.CreateBudget(budgetA), qt.ErrorIs, ErrBudgetExists)
+	c.Assert(tr.CreateBudget("no-slash"), qt.ErrorIs, ErrBadName)
+	c.Assert(tr.Draw(budgetA, "west", 601), qt.ErrorIs, ErrInsufficient)
+	c.Assert(tr.Return(budgetA, "east", 401), qt.ErrorIs, ErrBadAmount)
+	c.Assert(tr.Fold(budgetA, "east", 300, 99), qt.ErrorIs, ErrDrawnMismatch)
+	c.Assert(tr.SetKeys(budgetA, [][]byte{{1}}), qt.ErrorIs, ErrBadName)
+	c.Assert(b.Unallocated(), qt.Equals, Tokens(600))
+	c.Assert(tr.Return(budgetA, "east", 100), qt.IsNil)
+	c.Assert(tr.Fold(budgetA, "east", 290, 10), qt.IsNil)
+	c.Assert(b.Unallocated(), qt.Equals, Tokens(700))
+	for i := range MaxTopUpIDs + 3 {
+		_, err := tr.TopUp(budgetA, uuid.UUID{byte(i), 1}.String(), 1)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(b.TopUps, qt.HasLen, MaxTopUpIDs)
+	c.Assert(tr.Check(), qt.IsNil)
+}
+
+// TestIntervalSet guards against slots that are forgotten or settled twice, by
+// comparison with a map.
+func TestIntervalSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var set IntervalSet
+		want := map[Slot]bool{}
+		for _, slot := range rapid.SliceOf(rapid.Uint32Range(1, 60)).Draw(t, "slots") {
+			if set.Add(Slot(slot)) == want[Slot(slot)] {
+				t.Fatalf("wrong answer for %d in %v", slot, set)
+			}
+			want[Slot(slot)] = true
+		}
+		if !set.valid() || set.Len() != len(want) {
+			t.Fatalf("%v has %d slots, want %d", set, set.Len(), len(want))
+		}
+		for slot := Slot(0); slot < 62; slot++ {
+			if set.Contains(slot) != want[slot] {
+				t.Fatalf("slot %d in %v", slot, set)
+			}
+		}
+	})
+}
--- a/internal/budget/recover.go
+++ b/internal/budget/recover.go
@@ -214,9 +214,6 @@
 			h.former = append(h.former, m)
 		}
 	}
-	if len(h.former) == 0 {
-		return
-	}
 	h.recon = &reconState{running: map[Incarnation][]RunningAttempt{}}
 	for _, b := range h.budgets {
 		if b.unreconciled > 0 {
--- a/internal/budget/wallet.go
+++ b/internal/budget/wallet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,6 +39,10 @@
 type walletBill struct {
 	bill  Bill
 	agent string // empty if no agent has a copy
+	// charge is what the bill counts for in the lot. It is the whole
+	// reservation of an estimated bill: a holder may have collected another
+	// amount from the agent, and the first bill that it accepts counts.
+	charge Tokens
 	// epoch is the epoch of the holder that has the bill, 0 if none has.
 	epoch uint64
 }
@@ -53,8 +58,8 @@
 	id            LotID
 	budget        *walletBudget
 	limit         Tokens
-	billed        Tokens // sum of all bills
-	durableBilled Tokens // sum of the bills known to be durable
+	billed        Tokens // sum of the charges of all bills
+	durableBilled Tokens // sum of the charges of the bills known to be durable
 	reserved      Tokens
 	lastSlot      Slot
 	holds         map[Slot]Tokens
@@ -74,6 +79,7 @@
 	id          ID
 	account     *walletAccount
 	lot         *walletLot
+	old         []*walletLot // abandoned, reported until they are closed
 	demand      rate
 	bound       Tokens // largest recent reservation
 	boundAt     time.Time
@@ -92,7 +98,7 @@
 	account  Account
 	epoch    uint64
 	seq      uint64
-	budgets  map[ID]*walletBudget
+	budgets  []*walletBudget // in the order of their first use
 	inFlight *sentExchange
 	urgent   bool
 	lastSent time.Time
@@ -146,7 +152,7 @@
 func (w *Wallet) account(account Account) *walletAccount {
 	a := w.accounts[account]
 	if a == nil {
-		a = &walletAccount{account: account, budgets: map[ID]*walletBudget{}}
+		a = &walletAccount{account: account}
 		w.accounts[account] = a
 	}
 	return a
@@ -158,7 +164,7 @@
 		a := w.account(w.AccountOf(id))
 		b = &walletBudget{id: id, account: a}
 		w.budgets[id] = b
-		a.budgets[id] = b
+		a.budgets = append(a.budgets, b)
 	}
 	return b
 }
@@ -243,8 +249,12 @@
 		l.unused = append(l.unused, hold.Slot)
 		return nil
 	}
-	l.billed += bill.Amount
-	l.bills[hold.Slot] = &walletBill{bill: bill, agent: agent}
+	charge := bill.Amount
+	if bill.Estimated {
+		charge = hold.Amount
+	}
+	l.billed += charge
+	l.bills[hold.Slot] = &walletBill{bill: bill, agent: agent, charge: charge}
 	return nil
 }
 
@@ -285,6 +295,19 @@
 // Renew makes an exchange for the account due at once.
 func (w *Wallet) Renew(account Account) { w.account(account).urgent = true }
 
+// Abandon takes no more reservations from the hold's lot, and asks for another
+// one. It is called when an agent refuses the lot with ErrFenced: an earlier
+// holder had begun to give the router up, and its successor does not know.
+func (w *Wallet) Abandon(hold Hold) {
+	l := w.lots[hold.Lot]
+	if l == nil || l.budget.lot != l {
+		return
+	}
+	b := l.budget
+	b.lot, b.old = nil, append(b.old, l)
+	b.account.urgent = true
+}
+
 // Keys returns the SHA-256 hashes of a budget's API keys as last heard, and when
 // that was. If they are missing or too old the caller calls WantKeys and
 // exchanges.
@@ -352,16 +375,21 @@
 		w.counters.DroppedLots++
 	}
 	delete(w.lots, l.id)
-	l.budget.lot = nil
+	b := l.budget
+	if b.lot == l {
+		b.lot = nil
+	}
+	b.old = slices.DeleteFunc(b.old, func(o *walletLot) bool { return o == l })
 }
 
 // Prune forgets budgets that were not used for a minute and accounts without
 // budgets keep only their epoch.
 func (w *Wallet) Prune(now time.Time) {
 	for id, b := range w.budgets {
-		if b.lot == nil && b.waiting == 0 && now.Sub(b.lastUse) > boundMemory {
+		if b.lot == nil && len(b.old) == 0 && b.waiting == 0 && now.Sub(b.lastUse) > boundMemory {
 			delete(w.budgets, id)
-			delete(b.account.budgets, id)
+			a := b.account
+			a.budgets = slices.DeleteFunc(a.budgets, func(o *walletBudget) bool { return o == b })
 		}
 	}
 }
@@ -374,9 +402,9 @@
 			reserved += amount
 		}
 		for _, b := range l.bills {
-			bills += b.bill.Amount
+			bills += b.charge
 		}
-		if l.id != id || l.budget.lot != l {
+		if l.id != id || l.budget.lot != l && !slices.Contains(l.budget.old, l) {
 			return violated("wallet", l.budget.id, "lot %v is filed wrongly", id)
 		}
 		if reserved != l.reserved || l.durableBilled+bills != l.billed || l.free() < 0 {
--- a/internal/budget/walletexchange.go
+++ b/internal/budget/walletexchange.go
@@ -10,6 +10,7 @@
 	seq    uint64
 	sentAt time.Time
 	sent   []sentReport
+	next   int // where match continues
 }
 
 // sentReport is what an exchange said about one budget.
@@ -33,11 +34,14 @@
 	return size
 }
 
+// settled reports whether a lot has nothing left to do.
+func (l *walletLot) settled() bool {
+	return len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0
+}
+
 // closable reports whether a lot can be given back for good.
 func (b *walletBudget) closable(now time.Time) bool {
-	l := b.lot
-	return b.waiting == 0 && len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0 &&
-		now.Sub(l.lastUse) >= IdleAfter
+	return b.waiting == 0 && b.lot.settled() && now.Sub(b.lot.lastUse) >= IdleAfter
 }
 
 // DueAt returns when the next exchange for an account is worth its cost, and
@@ -72,6 +76,12 @@
 	if b.wantKeys {
 		want(now)
 	}
+	for _, l := range b.old {
+		lotDue(a, l, want)
+		if l.settled() {
+			want(a.lastSent.Add(failedRetry))
+		}
+	}
 	l := b.lot
 	if l == nil {
 		if b.waiting > 0 {
@@ -79,6 +89,7 @@
 		}
 		return
 	}
+	lotDue(a, l, want)
 	comfort := w.comfort(now, b)
 	switch {
 	case b.waiting > l.free() || b.recalled:
@@ -88,15 +99,19 @@
 	case l.free() > 2*comfort+b.waiting && l.free() > 0:
 		want(a.lastSent.Add(billInterval))
 	}
+	if l.settled() {
+		want(l.lastUse.Add(IdleAfter))
+	}
+}
+
+// lotDue is when a lot's bills are worth an exchange.
+func lotDue(a *walletAccount, l *walletLot, want func(time.Time)) {
 	if !l.dirtyAt.IsZero() {
 		want(l.dirtyAt.Add(billInterval))
 	}
 	if len(l.bills) > 0 {
 		want(a.lastSent.Add(pendingInterval))
 	}
-	if len(l.holds)+len(l.bills)+len(l.unused)+l.unacked == 0 {
-		want(l.lastUse.Add(IdleAfter))
-	}
 	want(a.lastSent.Add(IdleAfter))
 }
 
@@ -129,6 +144,13 @@
 	flight := &sentExchange{seq: a.seq, sentAt: now}
 	req := ExchangeRequest{Account: account, Router: w.self, Epoch: a.epoch, Seq: a.seq}
 	for _, b := range a.budgets {
+		for _, l := range b.old {
+			report, sent := l.report()
+			l.lower(&report, l.billed+l.reserved)
+			report.Close = l.settled()
+			req.Lots = append(req.Lots, report)
+			flight.sent = append(flight.sent, sent)
+		}
 		if b.lot == nil && b.waiting == 0 && !b.wantKeys {
 			continue
 		}
@@ -146,21 +168,24 @@
 
 // report describes a budget's lot, or asks for one.
 func (w *Wallet) report(now time.Time, b *walletBudget) (LotReport, sentReport) {
-	r := LotReport{Budget: b.id, DemandPerSecond: b.demand.perSecond(now)}
-	sent := sentReport{budget: b, lot: b.lot}
-	l := b.lot
-	if l == nil {
-		if b.waiting > 0 {
-			r.Want = b.waiting + w.comfort(now, b)
-		}
-		return r, sent
-	}
-	r.Lot, r.Want, r.Reserved = l.id, l.limit, l.reserved
-	r.Limit, r.Billed = l.limit, l.durableBilled
-	r.Unused = slices.Clone(l.unused)
-	sent.unused = len(l.unused)
+	r := LotReport{Budget: b.id}
+	sent := sentReport{budget: b}
+	if b.lot != nil {
+		r, sent = b.lot.report()
+	} else if b.waiting > 0 {
+		r.Want = b.waiting + w.comfort(now, b)
+	}
+	r.DemandPerSecond = b.demand.perSecond(now)
+	return r, sent
+}
+
+// report describes the lot as it is.
+func (l *walletLot) report() (LotReport, sentReport) {
+	r := LotReport{Lot: l.id, Budget: l.budget.id, Want: l.limit, Reserved: l.reserved,
+		Limit: l.limit, Billed: l.durableBilled, Unused: slices.Clone(l.unused)}
+	sent := sentReport{budget: l.budget, lot: l, unused: len(l.unused)}
 	for slot, bill := range l.bills {
-		if bill.epoch != 0 && bill.epoch == b.account.epoch {
+		if bill.epoch != 0 && bill.epoch == l.budget.account.epoch {
 			r.Pending = append(r.Pending, slot)
 			continue
 		}
@@ -186,10 +211,14 @@
 	case b.recalled || l.free() > 2*comfort+b.waiting:
 		lower = need + comfort
 	}
-	if lower < l.limit {
-		r.Release, r.Lower, r.Want = true, lower, lower
-		l.limit = lower
-		r.Limit = lower
+	l.lower(r, lower)
+}
+
+// lower gives back what is above a limit.
+func (l *walletLot) lower(r *LotReport, limit Tokens) {
+	if limit < l.limit {
+		r.Release, r.Lower, r.Want, r.Limit = true, limit, limit, limit
+		l.limit = limit
 	}
 }
 
@@ -257,16 +286,10 @@
 
 // applyGrant takes over the answer about one lot.
 func (w *Wallet) applyGrant(now time.Time, a *walletAccount, flight *sentExchange, g *LotGrant, result *ReplyResult) {
-	i := slices.IndexFunc(flight.sent, func(s sentReport) bool {
-		if s.budget.id != g.Budget {
-			return false
-		}
-		return s.lot == nil || s.lot.id == g.Lot
-	})
-	if i < 0 {
+	sent := flight.match(g)
+	if sent == nil {
 		return
 	}
-	sent := &flight.sent[i]
 	b := sent.budget
 	result.Budgets = append(result.Budgets, b.id)
 	w.noteGrant(now, a, b, g)
@@ -276,7 +299,7 @@
 		return
 	case l == nil && b.lot == nil && !g.Closed:
 		l = w.addLot(now, b, g.Lot)
-	case l == nil || b.lot != l:
+	case l == nil || w.lots[l.id] != l:
 		return
 	case g.Closed:
 		w.dropLot(l)
@@ -293,6 +316,22 @@
 	}
 }
 
+// match returns the report that a grant answers, or nil. Grants come in the order
+// of the reports, some of which have none.
+func (f *sentExchange) match(g *LotGrant) *sentReport {
+	for range f.sent {
+		if f.next >= len(f.sent) {
+			f.next = 0
+		}
+		s := &f.sent[f.next]
+		f.next++
+		if s.budget.id == g.Budget && (s.lot == nil || s.lot.id == g.Lot) {
+			return s
+		}
+	}
+	return nil
+}
+
 // noteGrant takes over what an answer says about a budget.
 func (w *Wallet) noteGrant(now time.Time, a *walletAccount, b *walletBudget, g *LotGrant) {
 	b.missing = g.Missing
@@ -341,7 +380,7 @@
 		return
 	}
 	delete(l.bills, slot)
-	l.durableBilled += bill.bill.Amount
+	l.durableBilled += bill.charge
 	if bill.agent == "" {
 		return
 	}
@@ -356,7 +395,7 @@
 	if epoch > a.epoch {
 		a.epoch = epoch
 		for _, b := range a.budgets {
-			a.urgent = a.urgent || b.lot != nil || b.waiting > 0
+			a.urgent = a.urgent || b.lot != nil || len(b.old) > 0 || b.waiting > 0
 		}
 	}
 }
@@ -377,6 +416,10 @@
 	w.adoptEpoch(a, epoch)
 	var out []LotReport
 	for _, b := range a.budgets {
+		for _, l := range b.old {
+			r, _ := l.report()
+			out = append(out, r)
+		}
 		if b.lot != nil {
 			r, _ := w.report(now, b)
 			out = append(out, r)
@@ -388,8 +431,10 @@
 // dropAll forgets all lots of an account.
 func (w *Wallet) dropAll(a *walletAccount) {
 	for _, b := range a.budgets {
-		if b.lot != nil {
-			w.dropLot(b.lot)
+		for _, l := range append(slices.Clone(b.old), b.lot) {
+			if l != nil {
+				w.dropLot(l)
+			}
 		}
 	}
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -279,6 +279,9 @@
 	Routers          []budget.Boot    `cbor:"4,keyasint,omitempty"` // maker of each bill's lot, parallel to Bills
 	Running          []RunningAttempt `cbor:"5,keyasint,omitempty"`
 	Claims           []ClaimedAttempt `cbor:"6,keyasint,omitempty"`
+	// AccountEpoch is the epoch that the agent enforces for the account. A
+	// higher one than the holder's own tells it that it was replaced.
+	AccountEpoch uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // AckBillsArgs tells an agent that bills are durable and can be deleted.
