--- a/internal/store/memstore/lease.go
+++ b/internal/store/memstore/lease.go
@@ -18,10 +18,7 @@
 }
 
 // Grant implements store.Leaser.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
-	if err := ctx.Err(); err != nil {
-		return 0, err
-	}
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
@@ -36,10 +33,7 @@
 }
 
 // KeepAlive implements store.Leaser.
-func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
+func (s *Store) KeepAlive(_ context.Context, id store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.leases[id]
@@ -52,10 +46,7 @@
 }
 
 // Revoke implements store.Leaser.
-func (s *Store) Revoke(ctx context.Context, id store.LeaseID) error {
-	if err := ctx.Err(); err != nil {
-		return err
-	}
+func (s *Store) Revoke(_ context.Context, id store.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] == nil {
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -36,8 +36,9 @@
 	HistoryBytes     int
 }
 
-// Store is an in-memory store.Store. It is safe for concurrent use. Values that
-// it returns are shared and must not be changed.
+// Store is an in-memory store.Store. It is safe for concurrent use. It never
+// waits, so only Commit and Watch heed their context. Values that it returns are
+// shared and must not be changed.
 type Store struct {
 	opts Options
 
@@ -81,10 +82,7 @@
 }
 
 // Get implements store.KV.
-func (s *Store) Get(ctx context.Context, key string) (store.Entry, error) {
-	if err := ctx.Err(); err != nil {
-		return store.Entry{}, err
-	}
+func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if entry, ok := s.entries[key]; ok {
@@ -94,10 +92,7 @@
 }
 
 // List implements store.KV.
-func (s *Store) List(ctx context.Context, prefix string) (store.Snapshot, error) {
-	if err := ctx.Err(); err != nil {
-		return store.Snapshot{}, err
-	}
+func (s *Store) List(_ context.Context, prefix string) (store.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	snapshot := store.Snapshot{Revision: s.revision}
@@ -123,8 +118,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.holds(txn.Compare) {
-		return store.TxnResult{Revision: s.revision, Current: s.current(txn.Compare)}, nil
+	if current, ok := s.compare(txn.Compare); !ok {
+		return store.TxnResult{Revision: s.revision, Current: current}, nil
 	}
 	for _, w := range txn.Write {
 		if !w.Delete && w.Lease != 0 && s.leases[w.Lease] == nil {
@@ -152,43 +147,40 @@
 	return nil
 }
 
-func (s *Store) holds(compare []store.Compare) bool {
-	for _, c := range compare {
-		if s.entries[c.Key].ModRevision != c.ModRevision {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *Store) current(compare []store.Compare) []store.Entry {
-	var current []store.Entry
+// compare returns the existing entries of the compared keys, and whether all
+// comparisons hold. The caller holds mu.
+func (s *Store) compare(compare []store.Compare) (current []store.Entry, ok bool) {
+	ok = true
 	for _, c := range compare {
-		if entry, ok := s.entries[c.Key]; ok {
+		entry, exists := s.entries[c.Key]
+		if exists {
 			current = append(current, entry)
 		}
+		ok = ok && entry.ModRevision == c.ModRevision
 	}
-	return current
+	return current, ok
 }
 
 // apply executes writes at one new revision. A transaction that changes nothing,
 // such as the deletion of a missing key, makes no revision. The caller holds mu.
 func (s *Store) apply(writes []store.Write) {
 	next := s.revision + 1
-	effective := false
+	before := len(s.history)
 	for _, w := range writes {
 		if w.Delete {
-			effective = s.remove(w.Key, next) || effective
-			continue
+			s.remove(w.Key, next)
+		} else {
+			s.put(w, next)
 		}
-		s.put(w, next)
-		effective = true
 	}
-	if !effective {
+	if len(s.history) == before {
 		return
 	}
 	s.revision = next
-	s.trim()
+	if s.historyBytes > s.opts.HistoryBytes {
+		// Drops half, so that the cost is spread over many writes.
+		s.compactTo(s.history[len(s.history)/2].ModRevision)
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -209,18 +201,16 @@
 	s.record(store.Event{Entry: entry})
 }
 
-func (s *Store) remove(key string, revision int64) bool {
+func (s *Store) remove(key string, revision int64) {
 	old, exists := s.entries[key]
 	if !exists {
-		return false
+		return
 	}
 	s.detach(old)
 	delete(s.entries, key)
-	if at, found := slices.BinarySearch(s.keys, key); found {
-		s.keys = slices.Delete(s.keys, at, at+1)
-	}
+	at, _ := slices.BinarySearch(s.keys, key)
+	s.keys = slices.Delete(s.keys, at, at+1)
 	s.record(store.Event{Entry: store.Entry{Key: key, ModRevision: revision}, Deleted: true})
-	return true
 }
 
 func (s *Store) detach(entry store.Entry) {
--- a/internal/store/memstore/watch.go
+++ b/internal/store/memstore/watch.go
@@ -16,14 +16,6 @@
 	s.historyBytes += eventBytes(e)
 }
 
-// trim drops the older half of the history when it is over its limit, so that
-// the cost is amortised over many writes.
-func (s *Store) trim() {
-	if s.historyBytes > s.opts.HistoryBytes {
-		s.compactTo(s.history[len(s.history)/2].ModRevision)
-	}
-}
-
 // Compact forgets the events up to a revision. A watch that still needs one of
 // them ends with store.ErrCompacted.
 func (s *Store) Compact(revision int64) {
@@ -49,9 +41,6 @@
 // Watch implements store.Watcher. A quiet watch gets a progress notice at each
 // progress interval.
 func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, err
-	}
 	out := make(chan store.WatchBatch)
 	go s.watch(ctx, prefix, from, out)
 	return out, nil
--- a/internal/syncer/size_test.go
+++ b/internal/syncer/size_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http/httptest"
 	"net/rpc"
@@ -79,7 +80,8 @@
 		s, err := New(Options{
 			Self:     hosts.Host{Name: "host-1000", Role: wire.RoleAgent, Region: "region-1", Domain: "domain-4"},
 			HostsURL: "http://hosts.invalid", Store: mem, Interests: in, Metrics: metrics.NewRegistry(),
-			Dial: func(context.Context, string) (Caller, error) { return nil, errDead },
+			Logger: slog.New(slog.DiscardHandler),
+			Dial:   func(context.Context, string) (Caller, error) { return nil, errDead },
 		})
 		c.Assert(err, qt.IsNil)
 		for i, e := range read.Entries {
@@ -118,7 +120,8 @@
 	relay, err := New(Options{
 		Self:  hosts.Host{Name: "relay", Role: wire.RoleRouter, Region: "r", Domain: "d"},
 		Store: mem, HostsURL: hostServer.URL, Metrics: metrics.NewRegistry(),
-		Dial: func(context.Context, string) (Caller, error) { return nil, errDead },
+		Logger: slog.New(slog.DiscardHandler),
+		Dial:   func(context.Context, string) (Caller, error) { return nil, errDead },
 	})
 	c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -150,6 +153,52 @@
 	c.Assert(args.After, qt.Equals, mem.Revision())
 }
 
+// BenchmarkIdlePoll measures what a poll without news costs a relay.
+func BenchmarkIdlePoll(b *testing.B) {
+	s := targetSyncer(b)
+	args := &wire.SyncPollArgs{After: s.Status().Revision, HostsVersion: s.Hosts().Version}
+	b.ReportAllocs()
+	for b.Loop() {
+		var reply wire.SyncPollReply
+		_ = s.Receiver().Poll(args, &reply)
+	}
+}
+
+// BenchmarkChange measures what a change of one workspace costs a follower.
+func BenchmarkChange(b *testing.B) {
+	s := targetSyncer(b)
+	known := s.table.items[config.Key(config.SectionWorkspace, "workspace-007")]
+	head := s.table.items[config.HeadKey]
+	revision := s.table.revision
+	b.ReportAllocs()
+	for b.Loop() {
+		revision++
+		s.takeEntries(revision-1, &wire.SyncPollReply{Revision: revision, Entries: []wire.SyncEntry{
+			{Key: config.Key(config.SectionWorkspace, "workspace-007"), Value: known.value, ModRevision: revision},
+			{Key: config.HeadKey, Value: head.value, ModRevision: revision},
+		}})
+	}
+}
+
+func targetSyncer(b *testing.B) *Syncer {
+	mem := memstore.New(memstore.Options{})
+	fillToTarget(qt.New(b), mem)
+	s, err := New(Options{
+		Self:     hosts.Host{Name: "relay", Role: wire.RoleRouter, Region: "region-1", Domain: "domain-4"},
+		HostsURL: "http://hosts.invalid", Store: mem, Metrics: metrics.NewRegistry(),
+		Dial:   func(context.Context, string) (Caller, error) { return nil, errDead },
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	if err == nil {
+		err = s.readStore(context.Background())
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.offerHosts(hosts.NewList(targetHosts()), time.Now())
+	return s
+}
+
 func serveSession(c *qt.C, relay *Syncer) *wire.Session {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
--- a/internal/syncer/syncer_test.go
+++ b/internal/syncer/syncer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -11,10 +12,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/monsoonworks/monsoonworks/devel/standin/faultstore"
+	"github.com/monsoonworks/monsoonworks/devel/standin/pipenet"
+	"github.com/monsoonworks/monsoonworks/devel/standin/storeserver"
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/config"
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
 	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/etcdgw"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -253,6 +257,31 @@
 	})
 }
 
+// Guards against connections to the store that go silent for good while new ones
+// work: watch and reads use pooled connections.
+func TestSilentConnectionsToStore(t *testing.T) {
+	inCluster(t, func(c *cluster) {
+		network := pipenet.New()
+		server := &http.Server{Handler: storeserver.New(c.mem)}
+		go func() { _ = server.Serve(network) }()
+		defer func() { _ = server.Close() }()
+		transport := &http.Transport{DialContext: network.DialContext}
+		defer transport.CloseIdleConnections()
+		client, err := etcdgw.New(etcdgw.Options{Endpoints: []string{"http://store.invalid"}, Transport: transport})
+		c.Assert(err, qt.IsNil)
+		router := c.add("router", wire.RoleRouter, "near-a")
+		c.add("agent", wire.RoleAgent, "near-a")
+		router.store = faultstore.New(client)
+		c.startAll()
+		defer c.stopAll()
+		for i := range 3 {
+			time.Sleep(10 * time.Second)
+			network.Silence()
+			c.Logf("in force after %v", c.waitVersion(c.change("w", i+1)))
+		}
+	})
+}
+
 // Guards against a change that is distributed twice, or not, after its answer
 // was lost.
 func TestLostAnswerOfApply(t *testing.T) {
