--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -29,8 +30,7 @@
 // ErrDuplicateKey means that a transaction writes the same key twice.
 var ErrDuplicateKey = errors.New("duplicate key in transaction")
 
-// Options are the variable properties of a Store. The zero value gives the
-// defaults.
+// Options configure a Store. The zero value gives the defaults.
 type Options struct {
 	ProgressInterval time.Duration
 	HistoryBytes     int
@@ -59,12 +59,8 @@
 
 // New returns an empty store at revision 1.
 func New(opts Options) *Store {
-	if opts.ProgressInterval <= 0 {
-		opts.ProgressInterval = DefaultProgressInterval
-	}
-	if opts.HistoryBytes <= 0 {
-		opts.HistoryBytes = DefaultHistoryBytes
-	}
+	opts.ProgressInterval = cmp.Or(opts.ProgressInterval, DefaultProgressInterval)
+	opts.HistoryBytes = cmp.Or(opts.HistoryBytes, DefaultHistoryBytes)
 	return &Store{
 		opts:     opts,
 		revision: 1,
--- a/internal/syncer/follower.go
+++ b/internal/syncer/follower.go
@@ -191,16 +191,18 @@
 	return false
 }
 
-// hostsVersion returns the version of the host list that a relay told last. For a
-// relay that told none it is the node's own, so that a change of relay does not
-// transfer the same list again.
-func (p *peers) hostsVersion(address string, own uint64) uint64 {
+// told returns the version of the host list that a relay told last, and whether
+// it was in contact with the store. For a relay that told no version it returns
+// the node's own, so that a change of relay does not transfer the same list
+// again.
+func (p *peers) told(address string, own uint64) (hostsVersion uint64, inContact bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if told := p.get(address).hostsVersion; told != 0 {
-		return told
+	known := p.get(address)
+	if known.hostsVersion != 0 {
+		own = known.hostsVersion
 	}
-	return own
+	return own, known.current
 }
 
 func (p *peers) setHostsVersion(address string, version uint64) {
@@ -280,9 +282,9 @@
 	s.counters.polls.Inc(1)
 	args := &wire.SyncPollArgs{Interests: s.opts.Interests, HoldMillis: hold.Milliseconds()}
 	known := s.Hosts()
-	args.HostsVersion = s.peers.hostsVersion(address, known.Version)
+	args.HostsVersion, args.InContact = s.peers.told(address, known.Version)
 	if args.After = s.Status().Revision; s.wantsFull() && s.peers.fullAllowed() {
-		args.After = -1
+		args.After = -args.After - 1
 	}
 	var reply wire.SyncPollReply
 	if err := s.call(ctx, address, args, &reply, hold); err != nil {
@@ -326,6 +328,7 @@
 func (s *Syncer) takeFull(entries []wire.SyncEntry, revision int64) {
 	if revision >= s.table.revision {
 		s.unverified, s.wantFull = false, false
+		s.wakePolls()
 	}
 	s.publish(s.table.applyFull(entries, revision), true)
 }
--- a/internal/syncer/hostlist.go
+++ b/internal/syncer/hostlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
@@ -18,6 +19,10 @@
 type hostState struct {
 	asOf   time.Time // when the list was last known to be the platform's
 	former []*hosts.List
+	// changed and gone lead from the last former list to the present one. Nearly
+	// all followers need this difference, so it is computed once.
+	changed []wire.SyncHost
+	gone    []string
 }
 
 // offerHosts adopts a list that was the platform's at a later time than the
@@ -38,6 +43,8 @@
 	if extra := len(s.hostState.former) - keptHostLists; extra > 0 {
 		s.hostState.former = append([]*hosts.List(nil), s.hostState.former[extra:]...)
 	}
+	changed, gone := hosts.Difference(current, list)
+	s.hostState.changed, s.hostState.gone = hosts.ToWire(changed), gone
 	s.hosts.Store(list)
 	wasRelay := s.plan.relay
 	s.plan = makePlan(list, s.opts.Self)
@@ -84,12 +91,16 @@
 	if list.Version == version || list.Len() == 0 {
 		return
 	}
-	for _, former := range s.hostState.former {
-		if former.Version == version && version != 0 {
-			changed, gone := hosts.Difference(former, list)
-			reply.Hosts, reply.HostsGone, reply.HostsDelta = hosts.ToWire(changed), gone, true
-			return
-		}
+	former := s.hostState.former
+	at := slices.IndexFunc(former, func(l *hosts.List) bool { return version != 0 && l.Version == version })
+	switch {
+	case at >= 0 && at == len(former)-1:
+		reply.Hosts, reply.HostsGone, reply.HostsDelta = s.hostState.changed, s.hostState.gone, true
+		return
+	case at >= 0:
+		changed, gone := hosts.Difference(former[at], list)
+		reply.Hosts, reply.HostsGone, reply.HostsDelta = hosts.ToWire(changed), gone, true
+		return
 	}
 	reply.Hosts = hosts.ToWire(list.All())
 }
--- a/internal/syncer/relay.go
+++ b/internal/syncer/relay.go
@@ -17,6 +17,8 @@
 	// maxWaitingPolls bounds the polls that a relay holds; further ones are
 	// answered at once.
 	maxWaitingPolls = 1024
+	// maxInterests bounds the work that a poller can cause per key.
+	maxInterests = 64
 	// watchCheckInterval is how often a relay checks its watch.
 	watchCheckInterval = 500 * time.Millisecond
 	// contactCheckAge is the age of the last contact at which a relay reads the
@@ -30,6 +32,8 @@
 	headTimeout = time.Second
 )
 
+var errInterests = errors.New("too many interests")
+
 // Receiver answers polls. Register it with rpc.Server.RegisterName("Sync", r).
 type Receiver struct{ s *Syncer }
 
@@ -39,11 +43,14 @@
 func (s *Syncer) Receiver() *Receiver { return &Receiver{s: s} }
 
 // Poll answers with what changed after the poller's revision. Without news it
-// waits for at most args.HoldMillis. It answers early when this node gains or
-// loses contact with the store, so that pollers can look elsewhere.
+// waits for at most args.HoldMillis. It answers early when its contact with the
+// store is not what the poller believes, so that pollers can look elsewhere.
 func (r *Receiver) Poll(args *wire.SyncPollArgs, reply *wire.SyncPollReply) error {
 	s := r.s
 	s.counters.servedPolls.Inc(1)
+	if len(args.Interests) > maxInterests {
+		return errInterests
+	}
 	hold := time.Duration(min(max(args.HoldMillis, 0), maxHold.Milliseconds())) * time.Millisecond
 	if s.waiting.Add(1) > maxWaitingPolls {
 		hold = 0
@@ -51,9 +58,8 @@
 	defer s.waiting.Add(-1)
 	deadline := time.NewTimer(hold)
 	defer deadline.Stop()
-	contact := s.contactState()
 	for expired := hold == 0; ; {
-		wake, done, err := s.tryAnswer(args, reply, contact, expired)
+		wake, done, err := s.tryAnswer(args, reply, expired)
 		if done || err != nil {
 			return err
 		}
@@ -67,25 +73,37 @@
 
 // tryAnswer fills in the answer if there is news or the poll must end; otherwise
 // it returns a channel to wait for.
-func (s *Syncer) tryAnswer(args *wire.SyncPollArgs, reply *wire.SyncPollReply, contact, expired bool) (<-chan struct{}, bool, error) {
+func (s *Syncer) tryAnswer(args *wire.SyncPollArgs, reply *wire.SyncPollReply, expired bool) (<-chan struct{}, bool, error) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	news := args.After < 0 || (!s.unverified && s.table.newer(args.After, args.Interests)) ||
-		(s.Hosts().Len() > 0 && s.Hosts().Version != args.HostsVersion) || s.inContact != contact
+	news := s.hasEntries(args) || (s.inContact && !s.unverified) != args.InContact ||
+		(s.Hosts().Len() > 0 && s.Hosts().Version != args.HostsVersion)
 	if !news && !expired && !s.stopped {
 		return s.wake, false, nil
 	}
 	reply.ContactMillis = -1
-	if !s.storeContact.IsZero() {
+	if !s.storeContact.IsZero() && !s.unverified {
 		reply.ContactMillis = time.Since(s.storeContact).Milliseconds()
 	}
 	s.answerHosts(args.HostsVersion, reply)
 	return nil, true, s.answerEntries(args, reply)
 }
 
+// hasEntries reports whether an answer would carry entries. A node whose own
+// state may lack a deletion claims nothing. The caller holds mu.
+func (s *Syncer) hasEntries(args *wire.SyncPollArgs) bool {
+	switch {
+	case s.unverified:
+		return false
+	case args.After < 0:
+		return s.table.revision >= -args.After-1
+	}
+	return s.table.newer(args.After, args.Interests)
+}
+
 func (s *Syncer) answerEntries(args *wire.SyncPollArgs, reply *wire.SyncPollReply) error {
-	if s.unverified {
-		return nil // this node's own state may lack a deletion, so it claims nothing
+	if s.unverified || (args.After < 0 && !s.hasEntries(args)) {
+		return nil
 	}
 	var err error
 	if args.After < 0 {
--- a/internal/syncer/syncer.go
+++ b/internal/syncer/syncer.go
@@ -28,8 +28,9 @@
 
 // Times of the distribution.
 const (
-	// PollHold is how long a relay holds a poll without news.
-	PollHold = 5 * time.Second
+	// PollHold is how long a relay holds a poll without news. Changes and the loss
+	// of the relay's contact end the poll at once, so it needs not be short.
+	PollHold = 10 * time.Second
 	// exploreHold is the hold of a poll at a relay without contact with the
 	// store, while the node looks for a better one.
 	exploreHold = time.Second
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -357,8 +357,8 @@
 
 // SyncPollArgs asks a relay for what changed after a revision.
 type SyncPollArgs struct {
-	// After is the highest store revision that the poller has. -1 asks for a Full
-	// answer.
+	// After is the highest store revision that the poller has. -n-1 asks for a
+	// Full answer at revision n or above.
 	After int64 `cbor:"1,keyasint"`
 	// HostsVersion is the version of the host list that the poller has.
 	HostsVersion uint64 `cbor:"2,keyasint"`
@@ -368,6 +368,9 @@
 	Interests []string `cbor:"3,keyasint,omitempty"`
 	// HoldMillis is how long the relay may wait for a change.
 	HoldMillis int64 `cbor:"4,keyasint"`
+	// InContact is set if the poller believes that the relay is in contact with
+	// the store. The relay answers at once if that is wrong.
+	InContact bool `cbor:"5,keyasint,omitempty"`
 }
 
 // SyncEntry is one key of the store as a relay knows it.
