--- a/internal/route/link.go
+++ b/internal/route/link.go
@@ -39,6 +39,7 @@
 	}
 	estimates := make([]Estimate, len(chosen))
 	v.Probe(ctx, chosen, estimates)
+	v.release()
 	best := -1
 	for k, e := range estimates {
 		if e.Known && e.FirstToken < unfit && (best < 0 || e.FirstToken < estimates[best].FirstToken) {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -65,8 +65,8 @@
 	Metrics metrics.Registry
 }
 
-// Router chooses servers. It is safe for concurrent use. Lock order: mu, then a
-// table's, then a server's, then its pool's.
+// Router chooses servers. It is safe for concurrent use. Lock order: placing, mu,
+// then a table's, then a server's, then its pool's. No lock is held during I/O.
 type Router struct {
 	Options
 	link     atomic.Pointer[rate.Limiter]
@@ -74,6 +74,10 @@
 	silences metrics.Counter
 	remote   metrics.Counter
 
+	// placing is held from the correction of a request's probes until its server
+	// has counted it.
+	placing sync.Mutex
+
 	mu      sync.Mutex
 	servers map[string]*server
 	pools   map[string]*pool
@@ -132,7 +136,6 @@
 		if s == nil {
 			break
 		}
-		s.begin()
 		session, err := r.session(ctx, s)
 		if err == nil {
 			return r.choice(s, session, reason), nil
@@ -182,19 +185,21 @@
 }
 
 // pick chooses among the local servers, and among those of other regions if no
-// local one can meet the deadline.
+// local one can meet the deadline. The server has counted the request.
 func (r *Router) pick(ctx context.Context, q *Query, t *table) (*server, string) {
 	local := &view{r: r, t: t, q: q, servers: t.local, now: time.Now(), timeout: ProbeTimeout}
+	defer local.release()
 	pick, ok := r.Policy.Pick(ctx, q, local)
 	if ok && r.meetsDeadline(ctx, t.local[pick.Server], pick) {
-		return t.local[pick.Server], pick.Reason
+		return t.local[pick.Server].begin(), pick.Reason
 	}
+	local.release()
 	if s, expected := r.pickRemote(ctx, q, t); s != nil && (!ok || !pick.Estimate.Known || expected < pick.Estimate.FirstToken) {
 		r.remote.Inc(1)
-		return s, "no server of this region can meet the deadline"
+		return s.begin(), "no server of this region can meet the deadline"
 	}
 	if ok && !(pick.Estimate.Known && pick.Estimate.FirstToken >= unfit) {
-		return t.local[pick.Server], pick.Reason
+		return t.local[pick.Server].begin(), pick.Reason
 	}
 	return local.lastResort()
 }
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -180,12 +180,14 @@
 	return float64(int(s.load.Running+s.load.Queued)+s.sinceLoad) / float64(max(s.load.Slots, 1))
 }
 
-func (s *server) begin() {
+// begin counts a request that is sent to the server, and returns it.
+func (s *server) begin() *server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sinceLoad++
 	s.sentAt[s.nextSent] = time.Now()
 	s.nextSent = (s.nextSent + 1) % maxRecent
+	return s
 }
 
 // sentSince counts the requests sent after t, maxRecent at most.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -153,6 +153,7 @@
 	servers []*server
 	now     time.Time
 	timeout time.Duration
+	placing bool // holds the router's placing lock
 }
 
 // Len implements Candidates.
@@ -184,7 +185,7 @@
 	for k := range v.servers {
 		i := (start + k) % len(v.servers)
 		if !v.excluded(i) && !v.servers[i].leaving(v.now) {
-			return v.servers[i], "no healthy server is left"
+			return v.servers[i].begin(), "no healthy server is left"
 		}
 	}
 	return nil, ""
