--- a/internal/holder/balance.go
+++ b/internal/holder/balance.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -28,9 +30,11 @@
 		}
 	}
 	m.pokeRouters(ctx, routers, a.key)
+	group := new(errgroup.Group)
 	for region, list := range needs {
-		m.askRegion(ctx, a, region, list)
+		group.Go(func() error { m.askRegion(ctx, a, region, list); return nil })
 	}
+	_ = group.Wait()
 }
 
 // askRegion asks another region's holder of the same shard to return escrow.
@@ -65,14 +69,22 @@
 		return
 	}
 	args := wire.LotsArgs{Account: key, Holder: m.o.Self}
+	group := new(errgroup.Group)
+	group.SetLimit(parallelCalls)
 	for _, peer := range m.o.Directory.Routers(m.o.Region) {
 		for router := range routers {
-			if router.Name != peer.Name {
-				continue
+			if router.Name == peer.Name {
+				group.Go(func() error { m.pokeRouter(ctx, peer, &args); return nil })
 			}
-			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-			_, _ = m.o.Caller.Call(callCtx, peer.Address, "Wallet.Poke", &args, &wire.Empty{})
-			cancel()
 		}
 	}
+	_ = group.Wait()
+}
+
+func (m *Manager) pokeRouter(ctx context.Context, peer Peer, args *wire.LotsArgs) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := m.o.Caller.Call(ctx, peer.Address, "Wallet.Poke", args, &wire.Empty{}); err != nil {
+		m.log.Debug("router not asked to release lots", "router", peer.Name, "error", err)
+	}
 }
--- a/internal/holder/manager.go
+++ b/internal/holder/manager.go
@@ -21,6 +21,13 @@
 	tickInterval = 100 * time.Millisecond
 	// recoverInterval is the time between two rounds of a recovery.
 	recoverInterval = 500 * time.Millisecond
+	// seekInterval is the time between two searches for balance of an account. A
+	// caller waits for a few of them.
+	seekInterval = 200 * time.Millisecond
+	// recallWait bounds the wait for routers that release lots for another
+	// region, and recallPoll is the time between looks.
+	recallWait = 200 * time.Millisecond
+	recallPoll = 10 * time.Millisecond
 	// deadAfter is how long a peer must be unreachable to count as dead.
 	deadAfter = 3 * time.Second
 	// silentAfter is how long a router with lots may be silent before it is
@@ -119,6 +126,7 @@
 	rev       int64     // store revision of the account record
 	holderRev int64     // store revision of the holder record
 	nextRound time.Time // of a recovery
+	nextSeek  time.Time // of a search for balance
 	faults    int64
 }
 
@@ -230,7 +238,13 @@
 		return true
 	}
 	now := time.Now()
-	return !a.core.FlushDue(now) && now.Before(a.nextRound)
+	return !a.core.FlushDue(now) && now.Before(a.nextRound) && !a.seekDue(now)
+}
+
+// seekDue reports whether it is time to look for balance elsewhere. The caller
+// holds a.mu.
+func (a *account) seekDue(now time.Time) bool {
+	return !now.Before(a.nextSeek) && len(a.core.Unmet(now)) > 0
 }
 
 // release ends a worker's use of an account and forgets it if it is not held.
@@ -264,10 +278,16 @@
 	if recovery {
 		a.nextRound = now.Add(recoverInterval)
 	}
+	seek := a.seekDue(now)
+	if seek {
+		a.nextSeek = now.Add(seekInterval)
+	}
 	a.mu.Unlock()
+	if seek {
+		m.seekBalance(ctx, a)
+	}
 	if recovery {
 		m.recover(ctx, a)
-		m.seekBalance(ctx, a)
 	}
 	a.mu.Lock()
 	flush := a.core.FlushDue(time.Now())
@@ -312,7 +332,7 @@
 	}
 	now := time.Now()
 	*reply = a.core.Exchange(now, *args)
-	urgent := a.core.FlushDue(now) || a.core.Deposed()
+	urgent := a.core.FlushDue(now) || a.core.Deposed() || a.seekDue(now)
 	m.reportFaults(a)
 	a.mu.Unlock()
 	if urgent {
@@ -365,20 +385,34 @@
 		reply.NotHolder = true
 		return nil
 	}
-	now := time.Now()
-	reply.Returned = make([]budget.Tokens, len(args.Needs))
-	for i, need := range args.Needs {
-		reply.Returned[i] = a.core.ReturnRequest(now, need.Budget, need.Need)
-	}
 	targets := a.recallTargets(args.Needs)
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	m.pokeRouters(ctx, targets, a.key)
+	if !a.askReturn(args, reply) {
+		m.pokeRouters(ctx, targets, a.key)
+		for end := time.Now().Add(recallWait); len(targets) > 0 && time.Now().Before(end) && !a.askReturn(args, reply); {
+			time.Sleep(recallPoll)
+		}
+	}
 	m.flush(ctx, a)
 	return nil
 }
 
+// askReturn asks the holder what it can return and reports whether that meets
+// all needs.
+func (a *account) askReturn(args *wire.ReturnArgs, reply *wire.ReturnReply) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now, met := time.Now(), true
+	reply.Returned = make([]budget.Tokens, len(args.Needs))
+	for i, need := range args.Needs {
+		reply.Returned[i] = a.core.ReturnRequest(now, need.Budget, need.Need)
+		met = met && reply.Returned[i] >= need.Need
+	}
+	return met
+}
+
 // recallTargets returns the routers that hold unused lots of the budgets. The
 // caller holds a.mu.
 func (a *account) recallTargets(needs []wire.ReturnNeed) map[budget.Incarnation]bool {
--- /dev/null
+++ b/test/e2e/money_test.go
@@ -0,0 +1,147 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/devel/testbed"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// storm sends requests from several callers at once until stop is closed, and
+// returns how many ended with each verdict.
+func (d *deployment) storm(workspace string, routers []string, callers int, stop <-chan struct{}) map[string]int {
+	var mu sync.Mutex
+	verdicts := map[string]int{}
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := d.call(routers[(i+n)%len(routers)], workspace, http.MethodPost, "/v1/chat/completions",
+					d.chat(fmt.Sprintf("caller %d asks for the %d. time", i, n), 30, n%2 == 0), nil)
+				verdict := a.verdict
+				if a.err != nil {
+					verdict = "broken"
+					time.Sleep(50 * time.Millisecond)
+				}
+				mu.Lock()
+				verdicts[verdict]++
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return verdicts
+}
+
+// duringStorm runs a storm for the time that f takes.
+func (d *deployment) duringStorm(workspace string, routers []string, callers int, f func()) map[string]int {
+	stop := make(chan struct{})
+	result := make(chan map[string]int, 1)
+	go func() { result <- d.storm(workspace, routers, callers, stop) }()
+	f()
+	close(stop)
+	return <-result
+}
+
+// Guards against spending more than was paid when all routers of both regions
+// run a budget dry at once, and against a refusal that does not say so.
+func TestBudgetRunsDry(t *testing.T) {
+	spec := testbed.Armor().Small()
+	spec.TopUp = 6_000
+	d := start(t, spec, testbed.Options{})
+	routers := []string{"quimper-router-1", "brest-router-1", "rennes-router-1"}
+	verdicts := d.duringStorm("armor-00", routers, 6, func() { time.Sleep(10 * time.Second) })
+	d.c.Assert(verdicts["ran"] > 0 && verdicts["not-run"] > 0, qt.IsTrue, qt.Commentf("%v", verdicts))
+	d.c.Assert(verdicts["unknown"]+verdicts["broken"], qt.Equals, 0)
+	// What the callers had reserved at the end is spent one by one.
+	d.eventually(20*time.Second, func() bool {
+		refused := d.call(routers[0], "armor-00", http.MethodPost, "/v1/chat/completions", d.chat("more", 30, false), nil)
+		d.c.Logf("%d %s %.300s", refused.status, refused.verdict, refused.body)
+		return refused.status == http.StatusPaymentRequired && refused.verdict == "not-run"
+	}, "no refusal says that the budget is exhausted")
+	spent := d.audit()
+	d.c.Assert(spent <= spec.TopUp, qt.IsTrue)
+
+	fresh, err := d.Money.TopUp(t.Context(), budget.MakeID("armor-00", ""), "second", 10_000)
+	d.c.Assert(err, qt.IsNil)
+	d.c.Assert(fresh, qt.IsTrue)
+	for _, router := range routers {
+		d.eventually(15*time.Second, func() bool {
+			return d.call(router, "armor-00", http.MethodPost, "/v1/chat/completions", d.chat("again", 30, false), nil).status == http.StatusOK
+		}, "%s does not see the top-up", router)
+	}
+	d.audit()
+}
+
+// Guards against refusals and lost bills while the store is down, and against a
+// bill that counts twice when the store's answers are lost.
+func TestStoreFails(t *testing.T) {
+	d := start(t, testbed.Yukimi().Small(), testbed.Options{})
+	routers := []string{"sapporo-a-router-1", "asahikawa-a-router-1", "kushiro-a-router-1"}
+	d.duringStorm("yukimi-00", routers, 4, func() { time.Sleep(3 * budget.MinFlushInterval) })
+	verdicts := d.duringStorm("yukimi-00", routers, 4, func() {
+		d.Store.Controls.SetDown(true)
+		time.Sleep(10 * time.Second)
+		d.Store.Controls.SetDown(false)
+		d.Store.Controls.LoseAnswers(20)
+		time.Sleep(5 * time.Second)
+		d.Store.Controls.SetDelay(300 * time.Millisecond)
+		time.Sleep(5 * time.Second)
+		d.Store.Controls.SetDelay(0)
+	})
+	d.c.Assert(verdicts["ran"] > 100, qt.IsTrue, qt.Commentf("%v", verdicts))
+	d.c.Assert(verdicts["ran"], qt.Equals, total(verdicts), qt.Commentf("%v", verdicts))
+	d.audit()
+}
+
+func total(verdicts map[string]int) int {
+	n := 0
+	for _, count := range verdicts {
+		n += count
+	}
+	return n
+}
+
+// Guards against overspend and double bills when holders are paused past their
+// replacement and then go on, and when a router and an agent die together.
+func TestPausedHolderAndDeaths(t *testing.T) {
+	d := start(t, testbed.Armor().Small(), testbed.Options{})
+	routers := []string{"quimper-router-1", "brest-router-1"}
+	verdicts := d.duringStorm("armor-00", routers, 6, func() {
+		time.Sleep(3 * time.Second)
+		d.signal("quimper-router-1", syscall.SIGSTOP)
+		time.Sleep(8 * time.Second)
+		d.signal("quimper-router-1", syscall.SIGCONT)
+		time.Sleep(6 * time.Second)
+		d.kill("brest-router-1")
+		d.kill("quimper-model-1")
+		time.Sleep(4 * time.Second)
+		d.run("quimper-model-1") // its memory is gone, so its part of the dead router's lots is lost
+		d.run("brest-router-1")
+		time.Sleep(4 * time.Second)
+	})
+	d.c.Assert(verdicts["ran"] > 0, qt.IsTrue, qt.Commentf("%v", verdicts))
+	d.eventually(20*time.Second, func() bool {
+		return d.call("quimper-router-1", "armor-00", http.MethodPost, "/v1/chat/completions", d.chat("again", 30, false), nil).status == http.StatusOK
+	}, "the region does not recover")
+	d.audit()
+}
+
+// signal sends a signal to a process.
+func (d *deployment) signal(name string, sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.c.Assert(d.processes[name].cmd.Process.Signal(sig), qt.IsNil)
+}
