--- a/internal/budget/account.go
+++ b/internal/budget/account.go
@@ -91,14 +91,14 @@
 	billed := make(map[ID]Tokens, len(a.Budgets))
 	for i, lot := range a.Lots {
 		if a.Budgets[lot.Budget] == nil {
-			return violated("account", lot.Budget, "lot %d-%d has no entry", lot.Mark.Epoch, lot.Mark.Num)
+			return violated("account", lot.Budget, "lot %s has no entry", lot.Mark)
 		}
 		if i > 0 && !a.Lots[i-1].Mark.Before(lot.Mark) {
 			return violated("account", lot.Budget, "lots are not in order")
 		}
 		if lot.Billed < 0 || lot.Limit < 0 || lot.Limit > 0 && lot.Billed > lot.Limit || !lot.Settled.valid() {
-			return violated("account", lot.Budget, "lot %d-%d: billed %d, limit %d, settled %v",
-				lot.Mark.Epoch, lot.Mark.Num, lot.Billed, lot.Limit, lot.Settled)
+			return violated("account", lot.Budget, "lot %s: billed %d, limit %d, settled %v",
+				lot.Mark, lot.Billed, lot.Limit, lot.Settled)
 		}
 		if lot.Mark.Epoch == 0 || lot.Mark.Epoch > a.Epoch {
 			return violated("account", lot.Budget, "lot of epoch %d in epoch %d", lot.Mark.Epoch, a.Epoch)
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -82,13 +82,13 @@
 			continue
 		}
 		if l.budget.id != r.Budget || l.router.Boot != router.Boot && l.router.Boot != (Boot{}) {
-			h.violate(violated("holder", r.Budget, "lot %v is reported by %v", mark, router))
+			h.violate(violated("holder", r.Budget, "lot %s is reported by %s", mark, router))
 			continue
 		}
 		h.refile(l, router)
 		limit := max(r.Limit, l.billed)
 		if extra := limit - l.billed - l.budget.unreconciled; extra > 0 {
-			h.violate(violated("holder", r.Budget, "lot %v is %d tokens over the unreconciled escrow", mark, extra))
+			h.violate(violated("holder", r.Budget, "lot %s is %d tokens over the unreconciled escrow", mark, extra))
 			limit -= extra
 		}
 		h.openOrphan(l, limit, true)
@@ -122,7 +122,7 @@
 		grant.Closed = true
 		return grant, true
 	case l.router.Boot != req.Router.Boot || l.budget.id != r.Budget:
-		h.violate(violated("holder", r.Budget, "lot %v is reported by %v", r.Lot.Mark(), req.Router))
+		h.violate(violated("holder", r.Budget, "lot %s is reported by %s", r.Lot.Mark(), req.Router))
 		grant.Closed = true
 		return grant, true
 	}
--- a/internal/budget/holder.go
+++ b/internal/budget/holder.go
@@ -436,7 +436,7 @@
 	for mark, l := range h.lots {
 		s := per[l.budget.id]
 		if s == nil || l.id.Mark() != mark {
-			return violated("lot", l.budget.id, "lot %v is filed wrongly", mark)
+			return violated("lot", l.budget.id, "lot %s is filed wrongly", mark)
 		}
 		if l.billed < l.durableBilled || l.phase != lotOrphan && l.billed > l.limit {
 			return violated("lot", l.budget.id, "billed %d, durable %d, limit %d", l.billed, l.durableBilled, l.limit)
--- /dev/null
+++ b/internal/budget/names.go
@@ -0,0 +1,53 @@
+package budget
+
+import "fmt"
+
+// String returns "shard/region", which is also the end of the account's key in
+// the store.
+func (a Account) String() string { return fmt.Sprintf("%d/%s", a.Shard, a.Region) }
+
+// String returns "epoch-number".
+func (m LotMark) String() string { return fmt.Sprintf("%d-%d", m.Epoch, m.Num) }
+
+// String returns "shard/region/epoch-number".
+func (id LotID) String() string { return fmt.Sprintf("%s/%s", id.Account, id.Mark()) }
+
+// String returns "name/boot".
+func (i Incarnation) String() string { return fmt.Sprintf("%s/%s", i.Name, i.Boot) }
+
+// String returns a short text for logs.
+func (m MissingReason) String() string {
+	switch m {
+	case MissingNothing:
+		return "nothing is missing"
+	case MissingPending:
+		return "a draw or a recall is under way"
+	case MissingExhausted:
+		return "the budget is spent or reserved"
+	case MissingUnreachable:
+		return "balance exists but cannot be reached now"
+	case MissingBudget:
+		return "no such budget"
+	}
+	return fmt.Sprintf("missing reason %d", uint8(m))
+}
+
+// String returns a short text for logs.
+func (o Outcome) String() string {
+	switch o {
+	case FlushCommitted:
+		return "committed"
+	case FlushConflict:
+		return "conflict"
+	case FlushFailed:
+		return "failed"
+	case FlushUnknown:
+		return "unknown"
+	}
+	return fmt.Sprintf("outcome %d", uint8(o))
+}
+
+// String returns the hold's slot and amount, for logs.
+func (h Hold) String() string {
+	return fmt.Sprintf("%s slot %d: %d tokens of %s", h.Lot, h.Slot, h.Amount, h.Budget)
+}
--- a/internal/budget/types.go
+++ b/internal/budget/types.go
@@ -1,8 +1,3 @@
-// Package budget is the decision code for prepaid budgets: the treasury and
-// account records, the holder of a budget shard, and the wallet of a router. It
-// does no I/O, starts no goroutines and never reads a clock; callers pass the
-// time in and carry out what it returns. A value of one of its types is not safe
-// for concurrent use unless its comment says so.
 package budget
 
 import (
--- a/internal/budget/wallet.go
+++ b/internal/budget/wallet.go
@@ -405,7 +405,7 @@
 			bills += b.charge
 		}
 		if l.id != id || l.budget.lot != l && !slices.Contains(l.budget.old, l) {
-			return violated("wallet", l.budget.id, "lot %v is filed wrongly", id)
+			return violated("wallet", l.budget.id, "lot %s is filed wrongly", id)
 		}
 		if reserved != l.reserved || l.durableBilled+bills != l.billed || l.free() < 0 {
 			return violated("wallet", l.budget.id, "limit %d, billed %d, durable %d, reserved %d and %d",
