--- a/internal/budget/policy_test.go
+++ b/internal/budget/policy_test.go
@@ -235,6 +235,30 @@
 	c.Assert(g.wallets[0].Missing(budgetA), qt.Equals, MissingUnreachable)
 }
 
+// TestOldMessages guards against a delayed exchange that brings back an older
+// limit, and against answers of a replaced holder.
+func TestOldMessages(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 1000, 0, "east")
+	g.want(0, 400)
+	h, w := g.holders[0], g.wallets[0]
+	old, _ := w.BuildExchange(g.now, h.Account())
+	w.ApplyReply(g.now, h.Account(), old.Seq, nil, ErrLotGone) // timed out
+	g.now = g.now.Add(IdleAfter)
+	g.exchange(0) // closes the idle lot
+	reply := h.Exchange(g.now, old)
+	after, _ := h.Balance(budgetA)
+	c.Assert(after.InLots, qt.Equals, Tokens(0))
+	c.Assert(h.Counters().StaleExchanges, qt.Equals, int64(1))
+	c.Assert(w.ApplyReply(g.now, h.Account(), old.Seq, &reply, nil).Applied, qt.IsFalse)
+	req, _ := w.BuildExchange(g.now, h.Account())
+	w.ObserveEpoch(h.Account(), 7)
+	reply = h.Exchange(g.now, req)
+	c.Assert(w.ApplyReply(g.now, h.Account(), req.Seq, &reply, nil).Applied, qt.IsFalse)
+	g.exchange(0)
+	c.Assert(h.Deposed(), qt.IsTrue)
+}
+
 // TestBook guards against agents that run what they must refuse.
 func TestBook(t *testing.T) {
 	c := qt.New(t)
@@ -262,7 +286,9 @@
 	}
 	c.Assert(b.Admit(adm), qt.IsNil)
 	c.Assert(b.Admit(adm), qt.ErrorIs, ErrKnownAttempt)
-	c.Assert(b.Finish(adm.Attempt, Bill{Amount: 13}).Amount, qt.Equals, Tokens(10))
+	bill := b.Finish(adm.Attempt, Bill{Amount: 13})
+	c.Assert(bill.Amount, qt.Equals, Tokens(10))
+	c.Assert(b.Finish(adm.Attempt, Bill{Amount: 4}), qt.Equals, bill)
 	c.Assert(b.Absorbed(), qt.Equals, Tokens(3))
 }
 
