--- a/internal/budget/draws.go
+++ b/internal/budget/draws.go
@@ -78,20 +78,23 @@
 		}
 		return m
 	}
-	if back := b.returnable(now); back > 0 {
-		return move{back: back}
-	}
 	// A wish that is not met yet counts as demand, so that the first draw of a
 	// starting region is its share and not only what the first caller needs.
 	draw, excess := h.share(b, tb, max(b.demand, float64(unmet)/demandWindow.Seconds()))
-	if excess > 0 && unmet == 0 {
-		return move{back: min(excess, max(0, free))}
+	// A region that another one asks returns its whole excess and not only what
+	// was asked, or it would be asked again every second.
+	back := b.returnable(now)
+	if unmet == 0 {
+		back = max(back, min(excess, free))
+	}
+	if back > 0 {
+		return move{back: back}
 	}
 	left := tb.Unallocated()
 	if short := unmet - free; short > draw {
 		draw = min(short, left)
 	}
-	if draw == 0 && unmet > 0 {
+	if draw == 0 && unmet > free {
 		b.drawTried, b.retryAt = now, now.Add(exhaustedRetry)
 	}
 	return move{draw: draw}
--- a/internal/budget/policy_test.go
+++ b/internal/budget/policy_test.go
@@ -352,3 +352,41 @@
 	g.want(0, 100)
 	c.Assert(len(g.wallets[0].lots), qt.Equals, 1)
 }
+
+// TestAskedRegionReturnsExcess guards against a region that keeps nearly all of a
+// balance because it is asked for a little every second, and against a wish that
+// counts as exhausted after it was met.
+func TestAskedRegionReturnsExcess(t *testing.T) {
+	c := qt.New(t)
+	g := newRig(c, 1_000_000, 80, "east", "west")
+	use := func(i int) {
+		hold, missing, ok := g.wallets[i].Reserve(g.now, budgetA, 200)
+		g.wallets[i].SetWaiting(g.now, budgetA, missing)
+		if ok {
+			c.Assert(g.wallets[i].Settle(g.now, hold, Bill{Amount: 200}, ""), qt.IsNil)
+		}
+	}
+	g.want(0, 200)
+	for range 40 { // 20 s of the same demand in both regions
+		use(0)
+		use(1)
+		g.tick(0, 250*time.Millisecond)
+		g.tick(1, 250*time.Millisecond)
+		for i := range g.holders {
+			for _, unmet := range g.holders[i].Unmet(g.now) {
+				for _, region := range unmet.Regions {
+					returned := g.holders[1-i].ReturnRequest(g.now, budgetA, unmet.Amount)
+					g.holders[i].ReturnAnswered(g.now, budgetA, region, true, returned)
+				}
+			}
+		}
+		c.Assert(g.wallets[1].Missing(budgetA), qt.Not(qt.Equals), MissingExhausted)
+	}
+	// A partition may begin with a balance of twice the demand; each region must
+	// then hold at least half of its share.
+	const least = 1_000_000 / 2 / 2
+	b := g.treasury.Budgets[budgetA]
+	for _, region := range []string{"east", "west"} {
+		c.Assert(b.Held[region] >= least, qt.IsTrue, qt.Commentf("drawn %v, held %v", b.Drawn, b.Held))
+	}
+}
--- a/test/e2e/money_test.go
+++ b/test/e2e/money_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,10 +15,14 @@
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 )
 
+// maxLoggedRefusals bounds what a storm logs.
+const maxLoggedRefusals = 3
+
 // storm sends requests from several callers at once until stop is closed, and
 // returns how many ended with each verdict.
 func (d *deployment) storm(workspace string, routers []string, callers int, stop <-chan struct{}) map[string]int {
 	var mu sync.Mutex
+	var refusals atomic.Int64
 	verdicts := map[string]int{}
 	var wg sync.WaitGroup
 	for i := range callers {
@@ -31,6 +36,9 @@
 				a := d.call(routers[(i+n)%len(routers)], workspace, http.MethodPost, "/v1/chat/completions",
 					d.chat(fmt.Sprintf("caller %d asks for the %d. time", i, n), 30, n%2 == 0), nil)
 				verdict := a.verdict
+				if a.status >= http.StatusBadRequest && refusals.Add(1) <= maxLoggedRefusals {
+					d.c.Logf("refused by %s: %.200s", routers[(i+n)%len(routers)], a.body)
+				}
 				if a.err != nil {
 					verdict = "broken"
 					time.Sleep(50 * time.Millisecond)
