--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -85,7 +85,7 @@
 		Spec: spec, Engines: map[string]*engine.Engine{}, Services: map[string]*service.Service{},
 		Nodes: map[string]settings.Settings{}, Keys: map[string]string{}, dir: o.Dir, number: platforms.Add(1),
 		proxyAll: o.ProxyAll,
-		proxies: map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
+		proxies:  map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
 		Store:    storeserver.New(memstore.New(memstore.Options{})),
 		HostList: hostlist.New(o.HostListLag),
 	}
