--- /dev/null
+++ b/internal/questionnaire/answers.go
@@ -0,0 +1,194 @@
+package questionnaire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+)
+
+// Answers are checked answers to all questions. Amounts are tokens.
+type Answers struct {
+	Name            string      `json:"name"`
+	Regions         []Region    `json:"regions"`
+	StoreRegion     string      `json:"store_region"`
+	HurtsMore       int         `json:"hurts_more"`
+	ExpectedBudgets int         `json:"expected_budgets"`
+	Link            Link        `json:"link"`
+	Models          []Model     `json:"models"`
+	Services        []Service   `json:"services"`
+	Pools           []Pool      `json:"pools"`
+	Workspaces      []Workspace `json:"workspaces"`
+	Budgets         []Budget    `json:"budgets"`
+
+	// lines holds the line of each answer by its path, and defaulted the paths
+	// of answers that were not given.
+	lines     map[string]int
+	defaulted map[string]bool
+}
+
+// Region is the answer about one region.
+type Region struct {
+	Name    string   `json:"name"`
+	Domains []string `json:"domains"`
+}
+
+// Link is the answer about the link between regions.
+type Link struct {
+	MbitPerSecond float64 `json:"mbit_per_second"`
+	SharePercent  float64 `json:"share_percent"`
+}
+
+// Model is the answer about one model.
+type Model struct {
+	Name                  string        `json:"name"`
+	LongestAnswerTokens   budget.Tokens `json:"longest_answer_tokens"`
+	DeadlineSeconds       float64       `json:"deadline_seconds"`
+	TokensPerByte         float64       `json:"tokens_per_byte"`
+	MessageOverheadTokens budget.Tokens `json:"message_overhead_tokens"`
+}
+
+// Service is the answer about one plain service.
+type Service struct {
+	Name            string        `json:"name"`
+	PriceTokens     budget.Tokens `json:"price_tokens"`
+	MayRepeat       []string      `json:"may_repeat"`
+	DeadlineSeconds float64       `json:"deadline_seconds"`
+	LargestBodyKiB  int64         `json:"largest_body_kib"`
+}
+
+// Pool is the answer about one pool.
+type Pool struct {
+	Name               string   `json:"name"`
+	Kind               string   `json:"kind"`
+	Serves             []string `json:"serves"`
+	EnginesCheckOrders bool     `json:"engines_check_orders"`
+	KeepUpPercent      float64  `json:"keep_up_percent"`
+}
+
+// Workspace is the answer about one workspace.
+type Workspace struct {
+	Name                  string   `json:"name"`
+	HomeRegion            string   `json:"home_region"`
+	Models                []string `json:"models"`
+	Services              []string `json:"services"`
+	PeakRequestsPerSecond float64  `json:"peak_requests_per_second"`
+	PeakConcurrent        int      `json:"peak_concurrent"`
+	Priority              int8     `json:"priority"`
+}
+
+// Budget is the answer about one budget.
+type Budget struct {
+	Workspace        string        `json:"workspace"`
+	Name             string        `json:"name"`
+	ToppedUpBy       string        `json:"topped_up_by"`
+	FirstTopUpTokens budget.Tokens `json:"first_top_up_tokens"`
+}
+
+// ID returns the budget's id.
+func (b Budget) ID() budget.ID { return budget.MakeID(b.Workspace, b.Name) }
+
+// Load reads and checks an answers file. Its errors name the file, the line, the
+// question and what is allowed.
+func Load(path string) (*Answers, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	a, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s:\n%w", path, err)
+	}
+	return a, nil
+}
+
+// Parse checks answers in YAML. It returns all faults that it finds.
+func Parse(data []byte) (*Answers, error) {
+	r := &reader{lines: map[string]int{}, defaulted: map[string]bool{}}
+	tree := r.read(data)
+	if len(r.faults) > 0 {
+		return nil, errors.Join(r.faults...)
+	}
+	encoded, err := json.Marshal(tree)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answers{lines: r.lines, defaulted: r.defaulted}
+	if err := json.Unmarshal(encoded, a); err != nil {
+		return nil, err
+	}
+	return a, a.checkReferences()
+}
+
+// references collects the faults of answers that name other answers.
+type references struct {
+	a      *Answers
+	faults []error
+}
+
+func (r *references) check(ok bool, path, format string, args ...any) {
+	if !ok {
+		r.faults = append(r.faults, faultAt(r.a.lines[path], path, fmt.Sprintf(format, args...)))
+	}
+}
+
+// known checks that each name is one of the answers of another question.
+func (r *references) known(path, question string, names []string, known map[string]bool) {
+	for _, name := range names {
+		r.check(known[name], path, "%q is not one of the answers to %q", name, question)
+	}
+}
+
+func (a *Answers) checkReferences() error {
+	r := &references{a: a}
+	regions := nameSet(r, "regions", a.Regions, func(v Region) string { return v.Name })
+	models := nameSet(r, "models", a.Models, func(v Model) string { return v.Name })
+	services := nameSet(r, "services", a.Services, func(v Service) string { return v.Name })
+	workspaces := nameSet(r, "workspaces", a.Workspaces, func(v Workspace) string { return v.Name })
+	nameSet(r, "pools", a.Pools, func(v Pool) string { return v.Name })
+	nameSet(r, "budgets", a.Budgets, func(v Budget) string { return string(v.ID()) })
+	a.checkDomains(r)
+	r.known("store_region", "regions", []string{a.StoreRegion}, regions)
+	for i, p := range a.Pools {
+		if path := fmt.Sprintf("pools[%d].serves", i); p.Kind == config.PoolModel {
+			r.known(path, "models", p.Serves, models)
+		} else {
+			r.known(path, "services", p.Serves, services)
+		}
+	}
+	for i, w := range a.Workspaces {
+		path := fmt.Sprintf("workspaces[%d].", i)
+		r.known(path+"home_region", "regions", []string{w.HomeRegion}, regions)
+		r.known(path+"models", "models", w.Models, models)
+		r.known(path+"services", "services", w.Services, services)
+	}
+	for i, b := range a.Budgets {
+		r.known(fmt.Sprintf("budgets[%d].workspace", i), "workspaces", []string{b.Workspace}, workspaces)
+	}
+	return errors.Join(r.faults...)
+}
+
+// checkDomains checks that each failure domain is in one region.
+func (a *Answers) checkDomains(r *references) {
+	seen := map[string]bool{}
+	for i, region := range a.Regions {
+		for _, domain := range region.Domains {
+			r.check(!seen[domain], fmt.Sprintf("regions[%d].domains", i), "%q is in two regions", domain)
+			seen[domain] = true
+		}
+	}
+}
+
+// nameSet returns the names of the elements of a list and checks that none
+// appears twice.
+func nameSet[T any](r *references, list string, values []T, name func(T) string) map[string]bool {
+	set := map[string]bool{}
+	for i, v := range values {
+		r.check(!set[name(v)], fmt.Sprintf("%s[%d]", list, i), "%q appears twice", name(v))
+		set[name(v)] = true
+	}
+	return set
+}
