Offer status and the ends of requests to the operators' tool

Cause: operators could not see what a fleet does or why a request was refused. Change: routers and agents answer Admin calls of peers with the tool's role. Certificates and the shared secret moved to a package that the tool can use.

--- /dev/null
+++ b/internal/agent/status.go
@@ -0,0 +1,11 @@
+package agent
+
+import "github.com/monsoonworks/monsoonworks/internal/wire"
+
+// Status describes the server for the operators' tool.
+func (a *Agent) Status() wire.AdminServer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_, bills := a.ledger.book.Len()
+	return wire.AdminServer{Pool: a.opts.Pool, Down: a.down, Load: a.loadLocked(), Bills: bills}
+}
--- a/internal/daemon/certs.go
+++ b/internal/certs/certs.go
@@ -1,11 +1,13 @@
-package daemon
+// Package certs holds the certificates of a process: it reads them from files,
+// reads them again when they change, and makes the TLS configurations of the
+// listeners.
+package certs
 
 import (
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"sync"
 	"time"
@@ -16,10 +18,10 @@
 // certCheckInterval is the least time between two looks at certificate files.
 const certCheckInterval = 5 * time.Second
 
-// certFiles holds a certificate that is read again when its file changes, so
+// Files holds a certificate that is read again when its file changes, so
 // that a renewal needs no stop. A file that cannot be read keeps the last one in
 // use.
-type certFiles struct {
+type Files struct {
 	settings settings.TLS
 
 	mu       sync.Mutex
@@ -28,15 +30,17 @@
 	checked  time.Time
 }
 
-func newCertFiles(s settings.TLS) (*certFiles, error) {
-	f := &certFiles{settings: s}
+// Load reads the certificate that the settings name. It fails if a file cannot
+// be read.
+func Load(s settings.TLS) (*Files, error) {
+	f := &Files{settings: s}
 	if err := f.load(); err != nil {
 		return nil, err
 	}
 	return f, nil
 }
 
-func (f *certFiles) load() error {
+func (f *Files) load() error {
 	info, err := os.Stat(f.settings.CertFile)
 	if err != nil {
 		return fmt.Errorf("certificate: %w", err)
@@ -52,7 +56,7 @@
 	return nil
 }
 
-func (f *certFiles) current() *tls.Certificate {
+func (f *Files) current() *tls.Certificate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now := time.Now(); now.Sub(f.checked) >= certCheckInterval {
@@ -62,19 +66,19 @@
 	return f.cert
 }
 
-// server returns the configuration of a listener for callers.
-func (f *certFiles) server() *tls.Config {
+// Server returns the configuration of a listener for callers.
+func (f *Files) Server() *tls.Config {
 	return &tls.Config{
 		MinVersion:     tls.VersionTLS12,
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return f.current(), nil },
 	}
 }
 
-// mutual returns the configuration of both sides of the inner protocol: each
+// Mutual returns the configuration of both sides of the inner protocol: each
 // side's certificate must be signed by the deployment's authority. Processes
 // meet by IP number, so names in certificates are not compared; the hello names
 // the peer.
-func (f *certFiles) mutual() (*tls.Config, error) {
+func (f *Files) Mutual() (*tls.Config, error) {
 	pem, err := os.ReadFile(f.settings.CAFile)
 	if err != nil {
 		return nil, fmt.Errorf("certificate authority: %w", err)
@@ -83,7 +87,7 @@
 	if !roots.AppendCertsFromPEM(pem) {
 		return nil, fmt.Errorf("certificate authority: %s holds no certificate", f.settings.CAFile)
 	}
-	config := f.server()
+	config := f.Server()
 	config.MinVersion = tls.VersionTLS13
 	config.ClientAuth = tls.RequireAndVerifyClientCert
 	config.ClientCAs = roots
@@ -94,8 +98,18 @@
 	return config, nil
 }
 
-// tlsListener encrypts the connections of a listener.
-func tlsListener(l net.Listener, config *tls.Config) net.Listener { return tls.NewListener(l, config) }
+// Peers returns the configuration of both sides of the inner protocol, nil
+// without certificates.
+func Peers(t settings.TLS) (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	files, err := Load(t)
+	if err != nil {
+		return nil, err
+	}
+	return files.Mutual()
+}
 
 // verifyChain checks that the peer's certificate is signed by one of the roots.
 func verifyChain(state tls.ConnectionState, roots *x509.CertPool) error {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -28,6 +29,10 @@
 	sync  *syncer.Syncer
 	agent *agent.Agent
 	inner *innerListener
+
+	boot     budget.Boot
+	started  time.Time
+	draining atomic.Bool
 }
 
 // NewAgent makes an agent and opens its listener. Run starts it.
@@ -40,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{s: s, log: log, pool: wire.NewPool(options, wire.Services{})}
+	a := &Agent{s: s, log: log, pool: wire.NewPool(options, wire.Services{}), boot: boot, started: time.Now()}
 	a.self = hosts.Host{
 		Name: s.Name, Address: s.Inner.Advertise, Role: s.Role, Region: s.Region, Domain: s.Domain, Pool: s.Agent.Pool,
 	}
@@ -60,7 +65,7 @@
 		Identity: budget.Incarnation{Name: s.Name, Boot: boot}, Kind: kind, Pool: s.Agent.Pool,
 		URL: s.Agent.URL, Slots: s.Agent.Slots, OnCrash: a.reportCrash, Metrics: registry, Logger: log,
 	})
-	a.inner, err = listenInner(s.Inner.Listen, options, a.agent.Services(), log)
+	a.inner, err = listenInner(s.Inner.Listen, options, a.services(), log)
 	return a, err
 }
 
@@ -123,6 +128,7 @@
 // Drain prepares a planned stop: new work is refused, requests in progress end,
 // and their bills become durable.
 func (a *Agent) Drain(ctx context.Context) error {
+	a.draining.Store(true)
 	left, err := a.agent.Drain(ctx)
 	if err != nil {
 		return fmt.Errorf("%d requests in progress, %d bills not durable: %w", len(left.Running), left.Bills, err)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
-	"os"
-	"strings"
 
 	"github.com/google/uuid"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/certs"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 	"github.com/monsoonworks/monsoonworks/internal/syncer"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
@@ -22,35 +20,12 @@
 	o := wire.Options{Hello: wire.Hello{
 		Role: s.Role, Name: s.Name, Region: s.Region, Domain: s.Domain, Boot: boot,
 	}}
-	if s.Inner.SecretFile != "" {
-		secret, err := os.ReadFile(s.Inner.SecretFile)
-		if err != nil {
-			return o, fmt.Errorf("shared secret: %w", err)
-		}
-		o.Secret = []byte(strings.TrimSpace(string(secret)))
-		if len(o.Secret) < minSecretBytes {
-			return o, fmt.Errorf("shared secret: %s holds fewer than %d bytes", s.Inner.SecretFile, minSecretBytes)
-		}
-	}
 	var err error
-	o.TLS, err = innerTLS(s.Inner.TLS)
-	return o, err
-}
-
-// minSecretBytes keeps the shared secret from being guessed.
-const minSecretBytes = 16
-
-// innerTLS returns the configuration of both sides of the inner protocol, nil
-// without certificates.
-func innerTLS(t settings.TLS) (*tls.Config, error) {
-	if !t.Enabled() {
-		return nil, nil
-	}
-	files, err := newCertFiles(t)
-	if err != nil {
-		return nil, err
+	if o.Secret, err = certs.Secret(s.Inner.SecretFile); err != nil {
+		return o, err
 	}
-	return files.mutual()
+	o.TLS, err = certs.Peers(s.Inner.TLS)
+	return o, err
 }
 
 // caller calls methods of other processes over the pool's sessions.
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -9,12 +10,15 @@
 	"net/rpc"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/monsoonworks/monsoonworks/internal/admin"
 	"github.com/monsoonworks/monsoonworks/internal/admission"
 	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/certs"
 	"github.com/monsoonworks/monsoonworks/internal/dispatch"
 	"github.com/monsoonworks/monsoonworks/internal/gateway"
 	"github.com/monsoonworks/monsoonworks/internal/holder"
@@ -42,6 +46,8 @@
 	public   net.Listener
 	pool     *wire.Pool
 	sync     *syncer.Syncer
+	started  time.Time
+	memory   *admin.Memory
 	ready    atomic.Bool
 	draining atomic.Bool
 
@@ -64,7 +70,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Router{s: s, log: log, registry: registry, store: st, boot: boot}
+	r := &Router{
+		s: s, log: log, registry: registry, store: st, boot: boot,
+		started: time.Now(), memory: admin.NewMemory(s.Name),
+	}
 	r.self = hosts.Host{Name: s.Name, Address: s.Inner.Advertise, Role: s.Role, Region: s.Region, Domain: s.Domain}
 	if r.options, err = wireOptions(s, boot); err != nil {
 		return nil, err
@@ -78,7 +87,7 @@
 		return nil, err
 	}
 	early := newRPCServer(map[string]any{"Sync": r.sync.Receiver()})
-	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: early, wire.RoleAgent: early})
+	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: early, wire.RoleAgent: early, wire.RoleTool: r.toolServer()})
 	r.inner, err = listenInner(s.Inner.Listen, r.options, wire.Services{RPC: r.rpc.For}, log)
 	if err != nil {
 		return nil, err
@@ -95,12 +104,12 @@
 	if err != nil || !r.s.Public.TLS.Enabled() {
 		return l, err
 	}
-	files, err := newCertFiles(r.s.Public.TLS)
+	files, err := certs.Load(r.s.Public.TLS)
 	if err != nil {
 		_ = l.Close()
 		return nil, err
 	}
-	return tlsListener(l, files.server()), nil
+	return tls.NewListener(l, files.Server()), nil
 }
 
 // Run runs the router until ctx ends. It returns the first error of a part.
@@ -189,6 +198,7 @@
 	p.gateway = gateway.New(gateway.Options{
 		Directory: gatewayDirectory{f, r.ready.Load}, Wallet: p.wallet, Dispatcher: dispatcher,
 		Admission: control, Logger: r.log, Metrics: r.registry, MaxConns: r.s.Public.MaxConnections,
+		Finished: r.memory.Finished, Refused: r.memory.Refused,
 	})
 	r.offer(p)
 	return p
@@ -200,7 +210,7 @@
 		"Sync": r.sync.Receiver(), "Holder": p.manager, "Wallet": p.wallet, "Suspect": p.suspects.Service(),
 	})
 	agents := newRPCServer(map[string]any{"Sync": r.sync.Receiver(), "Suspect": p.suspects.Service()})
-	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: routers, wire.RoleAgent: agents})
+	r.rpc.set(map[wire.Role]*rpc.Server{wire.RoleRouter: routers, wire.RoleAgent: agents, wire.RoleTool: r.toolServer()})
 }
 
 // followPolicy passes changes of the policy weight on.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/monsoonworks/monsoonworks/internal/dispatch"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -23,6 +24,10 @@
 	// keyed is set if the request has an idempotency key, so that sending it
 	// again is safe.
 	keyed bool
+	// who sent the request, zero until that is known. call is set once the
+	// request is understood.
+	who  caller
+	call *dispatch.Call
 	// status is 0 until the head was sent.
 	status int
 	// broken is set if the answer was begun and cannot be completed, and the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -17,6 +18,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/admission"
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/dispatch"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -95,6 +97,23 @@
 	Elapsed time.Duration
 }
 
+// Refusal tells of a request that was refused before it was dispatched.
+type Refusal struct {
+	Request uuid.UUID
+	// Budget is the one that the request's API key names. The request was sent by
+	// its owner only if Authenticated is set.
+	Budget        budget.ID
+	Authenticated bool
+	// Target and Reserve are zero if the request was refused before they were
+	// known.
+	Target  string
+	Reserve budget.Tokens
+	Err     *verdict.Error
+	// Status is the HTTP status sent to the caller.
+	Status  int
+	Elapsed time.Duration
+}
+
 // Defaults of Options and fixed limits.
 const (
 	DefaultDeadline       = 10 * time.Minute
@@ -120,9 +139,12 @@
 	Admission  Admission
 	// Finished, if set, is called after each call that was dispatched.
 	Finished func(Record)
-	Logger   *slog.Logger
-	Metrics  metrics.Registry
-	Tracer   trace.Tracer
+	// Refused, if set, is called after each request that was refused before its
+	// dispatch and whose API key names a budget of a known workspace.
+	Refused func(Refusal)
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+	Tracer  trace.Tracer
 
 	// MaxConns bounds the open connections; others wait to be accepted.
 	MaxConns int
@@ -160,6 +182,9 @@
 	if o.Finished == nil {
 		o.Finished = func(Record) {}
 	}
+	if o.Refused == nil {
+		o.Refused = func(Refusal) {}
+	}
 	o.MaxConns = orDefault(o.MaxConns, defaultMaxConns)
 	o.MaxHeaderBytes = orDefault(o.MaxHeaderBytes, defaultMaxHeaderBytes)
 	o.BodyMemory = max(orDefault(o.BodyMemory, defaultBodyMemory), wire.MaxBodyBytes)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -65,9 +65,32 @@
 	}
 	if err := g.serve(a, r); err != nil {
 		a.fail(err)
+		g.noteRefusal(a, r, err)
 	}
 }
 
+// noteRefusal reports a request that was refused before its dispatch.
+func (g *Gateway) noteRefusal(a *answer, r *http.Request, err *verdict.Error) {
+	refusal := Refusal{
+		Request: a.id, Budget: a.who.budget, Authenticated: a.who.budget != "",
+		Err: err, Status: a.status, Elapsed: time.Since(a.started),
+	}
+	if !refusal.Authenticated {
+		_, id, ok := bearerKey(r.Header)
+		if !ok {
+			return
+		}
+		if _, ok = g.opts.Directory.Workspace(id.Workspace()); !ok {
+			return
+		}
+		refusal.Budget = id
+	}
+	if a.call != nil {
+		refusal.Target, refusal.Reserve = a.call.Target, a.call.Reserve
+	}
+	g.opts.Refused(refusal)
+}
+
 func errDraining() *verdict.Error {
 	const retryElsewhere = time.Second
 	return verdict.New(verdict.NotRun, verdict.CodeDraining, "the router is shutting down").WithRetryAfter(retryElsewhere)
@@ -90,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	a.who = who
 	path := r.URL.Path
 	switch {
 	case path == pathChat && r.Method == http.MethodPost:
@@ -175,7 +199,7 @@
 
 // run admits a call, dispatches it, and ends its answer.
 func (g *Gateway) run(a *answer, r *http.Request, call *dispatch.Call, sink answerSink) *verdict.Error {
-	call.Request = a.id
+	call.Request, a.call = a.id, call
 	a.keyed = call.Key != ""
 	ctx := w3c.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := g.opts.Tracer.Start(ctx, spanName, trace.WithSpanKind(trace.SpanKindServer))
@@ -198,6 +222,7 @@
 	failure := sink.finish(out)
 	if failure != nil {
 		a.fail(failure)
+		out.Err = failure
 	}
 	elapsed := time.Since(started)
 	g.stats.observe(g.stats.duration, elapsed)
--- /dev/null
+++ b/internal/holder/status.go
@@ -0,0 +1,45 @@
+package holder
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/monsoonworks/monsoonworks/internal/wire"
+)
+
+// Status describes the accounts that this router holds, for the operators' tool.
+func (m *Manager) Status() []wire.AdminAccount {
+	m.mu.Lock()
+	held := make([]*account, 0, len(m.accounts))
+	for _, a := range m.accounts {
+		held = append(held, a)
+	}
+	m.mu.Unlock()
+	var out []wire.AdminAccount
+	for _, a := range held {
+		if status, ok := a.status(); ok {
+			out = append(out, status)
+		}
+	}
+	slices.SortFunc(out, func(a, b wire.AdminAccount) int { return cmp.Compare(a.Account.Shard, b.Account.Shard) })
+	return out
+}
+
+func (a *account) status() (wire.AdminAccount, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.core == nil || a.core.Deposed() {
+		return wire.AdminAccount{}, false
+	}
+	s := wire.AdminAccount{
+		Account: a.key, Epoch: a.core.Epoch(), PendingBills: a.core.PendingBills(),
+		Reconciling: a.core.Reconciling(), OutOfReach: a.core.OutOfReach(),
+	}
+	s.Budgets, s.Lots = a.core.Budgets()
+	for _, fence := range a.core.Fences() {
+		s.FencedRouters = append(s.FencedRouters, fence.Router.Name)
+	}
+	s.OutOfReachBudgets = len(s.OutOfReach)
+	s.OutOfReach = s.OutOfReach[:min(len(s.OutOfReach), wire.MaxAdminBudgets)]
+	return s, true
+}
