Add the operators' tool

Cause: operators had no way to apply configuration, pay budgets in, or ask the fleet. Change: monsoonctl with questionnaire, config, workspace, budget, topup, key, bills, status and explain; documented exit codes; table, JSON and CSV output. A change of a treasury that may have taken effect is now resolved until the deadline, and reported as unknown after it; it was reported as an unavailable store, which says that nothing was changed.

--- /dev/null
+++ b/cmd/monsoonctl/main.go
@@ -0,0 +1,201 @@
+// Command monsoonctl is the operators' tool of a deployment.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/ctl"
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/etcdgw"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run runs the tool and returns its exit code.
+func run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
+	t := &tool{in: in, out: out, errOut: errOut}
+	err := t.command().Run(ctx, args)
+	if err != nil {
+		t.fail(err)
+	}
+	return ctl.ExitCode(err)
+}
+
+// Names of the global flags.
+const (
+	flagStore   = "store"
+	flagHosts   = "hosts"
+	flagSecret  = "secret-file"
+	flagCert    = "tls-cert"
+	flagKey     = "tls-key"
+	flagCA      = "tls-ca"
+	flagOutput  = "output"
+	flagTimeout = "timeout"
+	flagAuthor  = "author"
+)
+
+// defaultTimeout bounds a whole command.
+const defaultTimeout = 30 * time.Second
+
+// tool is one run of the program.
+type tool struct {
+	in          io.Reader
+	out, errOut io.Writer
+	format      string
+}
+
+func (t *tool) command() *cli.Command {
+	root := &cli.Command{
+		Name:  "monsoonctl",
+		Usage: "drive a deployment: configuration, budgets, keys, bills, status, explanations",
+		Description: "Exit codes: 0 done, 1 failure, 2 wrong input, 3 conflict with another operator (nothing was changed), " +
+			"4 store unavailable (nothing was changed), 5 outcome unknown (repeat the same command).\n\n" +
+			"Example: monsoonctl --store http://192.0.2.1:2379 workspace list",
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{Name: flagStore, Usage: "reach the store at `URL`; repeat it for each endpoint", Sources: cli.EnvVars("MONSOONCTL_STORE")},
+			&cli.StringFlag{Name: flagHosts, Usage: "read the host list at `URL`", Sources: cli.EnvVars("MONSOONCTL_HOSTS")},
+			&cli.StringFlag{Name: flagSecret, Usage: "read the deployment's shared secret from `FILE`", Sources: cli.EnvVars("MONSOONCTL_SECRET_FILE")},
+			&cli.StringFlag{Name: flagCert, Usage: "use the certificate in `FILE` towards routers and agents", Sources: cli.EnvVars("MONSOONCTL_TLS_CERT")},
+			&cli.StringFlag{Name: flagKey, Usage: "use the private key in `FILE`", Sources: cli.EnvVars("MONSOONCTL_TLS_KEY")},
+			&cli.StringFlag{Name: flagCA, Usage: "accept certificates signed by the authority in `FILE`", Sources: cli.EnvVars("MONSOONCTL_TLS_CA")},
+			&cli.StringFlag{Name: flagOutput, Aliases: []string{"o"}, Value: ctl.FormatTable, Usage: "write `FORMAT`: table, json or csv"},
+			&cli.DurationFlag{Name: flagTimeout, Value: defaultTimeout, Usage: "give up after `TIME`"},
+			&cli.StringFlag{Name: flagAuthor, Usage: "name `WHO` makes changes (default: user@host)"},
+		},
+		Commands: []*cli.Command{
+			t.questionnaireCommand(), t.configCommand(), t.workspaceCommand(), t.budgetCommand(),
+			t.topUpCommand(), t.keyCommand(), t.billsCommand(), t.statusCommand(), t.explainCommand(),
+		},
+		EnableShellCompletion: true,
+		ConfigureShellCompletionCommand: func(c *cli.Command) {
+			c.Hidden = false
+			c.Usage = "print a completion script"
+			c.Description = "Example: source <(monsoonctl completion bash)"
+		},
+		Reader: t.in, Writer: t.out, ErrWriter: t.errOut,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		Before: func(ctx context.Context, cmd *cli.Command) (context.Context, error) {
+			t.format = cmd.String(flagOutput)
+			return ctx, ctl.CheckFormat(t.format)
+		},
+	}
+	prepare(root)
+	return root
+}
+
+// prepare makes errors of usage wrong input, and makes commands that only hold
+// others refuse an unknown name.
+func prepare(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error { return ctl.Input("%v", err) }
+	if cmd.Action == nil {
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return ctl.Input("%s has no command %q", cmd.FullName(), cmd.Args().First())
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range cmd.Commands {
+		prepare(sub)
+	}
+}
+
+// fail writes an error, and for a conflict what the other operator changed.
+func (t *tool) fail(err error) {
+	failure := ctl.NewFailure(err)
+	if t.format == ctl.FormatJSON {
+		encoder := json.NewEncoder(t.errOut)
+		encoder.SetIndent("", "  ")
+		_ = encoder.Encode(failure)
+		return
+	}
+	fmt.Fprintln(t.errOut, "monsoonctl:", err)
+	if failure.Conflict != nil {
+		_ = ctl.Write(t.errOut, ctl.FormatTable, failure.Conflict)
+	}
+	if errors.Is(err, store.ErrUnknownOutcome) {
+		fmt.Fprintln(t.errOut, "The change may or may not have been made. Repeat the same command; it counts once.")
+	}
+}
+
+// write writes a result.
+func (t *tool) write(r ctl.Result) error { return ctl.Write(t.out, t.format, r) }
+
+// action adapts a function to an action with a deadline. It checks the number of
+// arguments.
+func action(least, most int, f func(ctx context.Context, cmd *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, cmd *cli.Command) error {
+		if n := cmd.Args().Len(); n < least || n > most {
+			return ctl.Input("%s takes %s; see --help", cmd.FullName(), orNothing(cmd.ArgsUsage))
+		}
+		ctx, cancel := context.WithTimeout(ctx, cmd.Duration(flagTimeout))
+		defer cancel()
+		return f(ctx, cmd)
+	}
+}
+
+func orNothing(s string) string {
+	if s == "" {
+		return "no arguments"
+	}
+	return s
+}
+
+// openStore returns the client of the store.
+func openStore(cmd *cli.Command) (store.KV, error) {
+	endpoints := cmd.StringSlice(flagStore)
+	if len(endpoints) == 0 {
+		return nil, ctl.Input("--%s is needed for this command", flagStore)
+	}
+	return etcdgw.New(etcdgw.Options{Endpoints: endpoints})
+}
+
+// openTreasury returns the budgets of the deployment.
+func openTreasury(ctx context.Context, cmd *cli.Command) (*ctl.Treasury, error) {
+	kv, err := openStore(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return ctl.OpenTreasury(ctx, kv)
+}
+
+// inForce reads the configuration in force.
+func inForce(ctx context.Context, cmd *cli.Command) (*config.Snapshot, error) {
+	kv, err := openStore(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return ctl.Deployed(ctx, kv)
+}
+
+// openFleet reads the host list.
+func openFleet(ctx context.Context, cmd *cli.Command) (*ctl.Fleet, error) {
+	return ctl.OpenFleet(ctx, cmd.String(flagHosts), cmd.String(flagSecret), settings.TLS{
+		CertFile: cmd.String(flagCert), KeyFile: cmd.String(flagKey), CAFile: cmd.String(flagCA),
+	})
+}
+
+// author returns who makes a change.
+func author(cmd *cli.Command) string {
+	if who := cmd.String(flagAuthor); who != "" {
+		return who
+	}
+	return ctl.OperatorName()
+}
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -7,5 +7,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_, bills := a.ledger.book.Len()
-	return wire.AdminServer{Pool: a.opts.Pool, Down: a.down, Load: a.loadLocked(), Bills: bills}
+	return wire.AdminServer{
+		Pool: a.opts.Pool, Down: a.down, Bills: bills,
+		Running: int32(len(a.running)), Queued: int32(a.queue.length), Slots: int32(a.opts.Slots),
+	}
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -50,7 +50,7 @@
 	server := a.agent.Status()
 	s.Server, s.Draining = &server, a.draining.Load()
 	s.Ready = s.Confirmed && !server.Down && !s.Draining
-	s.InProgress = int(server.Load.Running + server.Load.Queued)
+	s.InProgress = int(server.Running + server.Queued)
 	return s
 }
 
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -21,7 +21,7 @@
 			out = append(out, status)
 		}
 	}
-	slices.SortFunc(out, func(a, b wire.AdminAccount) int { return cmp.Compare(a.Account.Shard, b.Account.Shard) })
+	slices.SortFunc(out, func(a, b wire.AdminAccount) int { return cmp.Compare(a.Shard, b.Shard) })
 	return out
 }
 
@@ -32,7 +32,7 @@
 		return wire.AdminAccount{}, false
 	}
 	s := wire.AdminAccount{
-		Account: a.key, Epoch: a.core.Epoch(), PendingBills: a.core.PendingBills(),
+		Shard: a.key.Shard, Region: a.key.Region, Epoch: a.core.Epoch(), PendingBills: a.core.PendingBills(),
 		Reconciling: a.core.Reconciling(), OutOfReach: a.core.OutOfReach(),
 	}
 	s.Budgets, s.Lots = a.core.Budgets()
--- a/internal/operator/money.go
+++ b/internal/operator/money.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/holder"
@@ -41,40 +42,82 @@
 	Shards uint32
 }
 
+// Pauses between attempts to find out what became of a write.
+const (
+	minPause = 50 * time.Millisecond
+	maxPause = time.Second
+)
+
 // update changes the treasury of a budget's shard by compare-and-swap. change
 // must do nothing when its effect is there already, because it is repeated after
-// a lost race or a lost answer.
-func (m Money) update(ctx context.Context, id budget.ID, change func(*budget.Treasury) error) error {
-	key := holder.TreasuryKey(budget.ShardOf(id, m.Shards))
-	for range maxTries {
-		entry, treasury, err := m.read(ctx, key, budget.ShardOf(id, m.Shards))
-		if err != nil {
-			return err
-		}
-		if err := change(treasury); err != nil {
-			return err
-		}
-		value, err := treasury.Encode()
-		if err != nil {
+// a lost race or a lost answer; uncertain tells it that an earlier attempt may
+// have taken effect. While that is so, update goes on until ctx ends, and then
+// fails with store.ErrUnknownOutcome. Any other error means that nothing was
+// changed.
+func (m Money) update(ctx context.Context, id budget.ID, change func(t *budget.Treasury, uncertain bool) error) error {
+	u := &treasuryUpdate{money: m, shard: budget.ShardOf(id, m.Shards), change: change}
+	for pause := minPause; ; pause = min(2*pause, maxPause) {
+		done, err := u.try(ctx)
+		if done {
 			return err
 		}
-		if bytes.Equal(value, entry.Value) {
-			return nil
-		}
-		result, err := m.KV.Commit(ctx, store.Txn{
-			Compare: []store.Compare{{Key: key, ModRevision: entry.ModRevision}},
-			Write:   []store.Write{{Key: key, Value: value}},
-		})
-		switch {
-		case err == nil && result.Committed:
-			return nil
-		case err != nil && !errors.Is(err, store.ErrUnknownOutcome):
-			return err
-		case ctx.Err() != nil:
-			return ctx.Err()
+		if u.uncertain {
+			timer := time.NewTimer(pause)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return fmt.Errorf("%w: %w", store.ErrUnknownOutcome, err)
+			}
 		}
 	}
-	return ErrBusy
+}
+
+// treasuryUpdate is one call of update.
+type treasuryUpdate struct {
+	money  Money
+	shard  budget.Shard
+	change func(t *budget.Treasury, uncertain bool) error
+	tries  int
+	// uncertain is set while a write may have taken effect.
+	uncertain bool
+}
+
+// try makes one attempt. It reports whether the update has ended; if not, err is
+// why.
+func (u *treasuryUpdate) try(ctx context.Context) (done bool, err error) {
+	key := holder.TreasuryKey(u.shard)
+	entry, treasury, err := u.money.read(ctx, key, u.shard)
+	if err != nil {
+		return !u.uncertain, err
+	}
+	if err := u.change(treasury, u.uncertain); err != nil {
+		return true, err
+	}
+	value, err := treasury.Encode()
+	if err != nil {
+		return true, err
+	}
+	if bytes.Equal(value, entry.Value) {
+		return true, nil
+	}
+	if u.tries++; u.tries > maxTries {
+		return true, ErrBusy
+	}
+	result, err := u.money.KV.Commit(ctx, store.Txn{
+		Compare: []store.Compare{{Key: key, ModRevision: entry.ModRevision}},
+		Write:   []store.Write{{Key: key, Value: value}},
+	})
+	switch {
+	case err == nil:
+		// A comparison that failed also settles an earlier attempt: the read that
+		// follows shows whether it took effect.
+		return result.Committed, nil
+	case errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrTooLarge):
+		return !u.uncertain, err
+	}
+	u.uncertain = true
+	return false, err
 }
 
 func (m Money) read(ctx context.Context, key string, shard budget.Shard) (store.Entry, *budget.Treasury, error) {
@@ -94,7 +137,7 @@
 
 // CreateBudget makes sure that a budget exists.
 func (m Money) CreateBudget(ctx context.Context, id budget.ID) error {
-	return m.update(ctx, id, func(t *budget.Treasury) error {
+	return m.update(ctx, id, func(t *budget.Treasury, _ bool) error {
 		if t.Budgets[id] != nil {
 			return nil
 		}
@@ -107,10 +150,11 @@
 // with budget.ErrTopUpMismatch.
 func (m Money) TopUp(ctx context.Context, id budget.ID, topUp string, amount budget.Tokens) (bool, error) {
 	fresh := false
-	err := m.update(ctx, id, func(t *budget.Treasury) error {
+	err := m.update(ctx, id, func(t *budget.Treasury, uncertain bool) error {
 		isNew, err := t.TopUp(id, topUp, amount)
-		// After a lost answer the repeated call finds its own effect.
-		fresh = fresh || isNew
+		// After a lost answer the repeated call finds its own effect. After a lost
+		// race it is another writer's.
+		fresh = isNew || uncertain && fresh
 		return err
 	})
 	return fresh, err
@@ -130,7 +174,7 @@
 	encoded := strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(secret))
 	key = fmt.Sprintf("mw_%s_%s_%s", id.Workspace(), name, encoded)
 	hash := sha256.Sum256([]byte(key))
-	err = m.update(ctx, id, func(t *budget.Treasury) error {
+	err = m.update(ctx, id, func(t *budget.Treasury, _ bool) error {
 		b := t.Budgets[id]
 		if b == nil {
 			return fmt.Errorf("%w: %q", budget.ErrNoBudget, id)
@@ -146,7 +190,7 @@
 // RevokeKey removes the key with the given id. It fails with ErrNoKey.
 func (m Money) RevokeKey(ctx context.Context, id budget.ID, keyID string) error {
 	removed := false
-	return m.update(ctx, id, func(t *budget.Treasury) error {
+	return m.update(ctx, id, func(t *budget.Treasury, _ bool) error {
 		b := t.Budgets[id]
 		if b == nil {
 			return fmt.Errorf("%w: %q", budget.ErrNoBudget, id)
--- a/internal/wire/admin_messages.go
+++ b/internal/wire/admin_messages.go
@@ -40,15 +40,19 @@
 	Pool string `cbor:"1,keyasint" json:"pool"`
 	// Down is set while the server does not answer its agent.
 	Down bool `cbor:"2,keyasint,omitempty" json:"down"`
-	Load Load `cbor:"3,keyasint" json:"load"`
+	// Running, Queued and Slots are as in Load.
+	Running int32 `cbor:"3,keyasint" json:"running"`
+	Queued  int32 `cbor:"5,keyasint" json:"queued"`
+	Slots   int32 `cbor:"6,keyasint" json:"slots"`
 	// Bills is the number of bills that are not known to be durable.
 	Bills int `cbor:"4,keyasint,omitempty" json:"bills_not_durable"`
 }
 
 // AdminAccount is an account at its holder.
 type AdminAccount struct {
-	Account budget.Account `cbor:"1,keyasint" json:"account"`
-	Epoch   uint64         `cbor:"2,keyasint" json:"epoch"`
+	Shard  budget.Shard `cbor:"1,keyasint" json:"shard"`
+	Region string       `cbor:"10,keyasint" json:"region"`
+	Epoch  uint64       `cbor:"2,keyasint" json:"epoch"`
 	// Budgets and Lots count the active budgets and the lots.
 	Budgets int `cbor:"3,keyasint" json:"budgets"`
 	Lots    int `cbor:"4,keyasint" json:"lots"`
