Tell the truth about a budget that has run dry

Cause: a router that held a rest too small for a request was told to wait, because its own rest counted as a lot to recall. Change: the asking router's own lot is no reason to wait. Conclusion: two routers that both ask while each holds a rest can still be told to wait.

--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -74,6 +74,8 @@
 	Service service.Config
 	// Region and domain delays are emulated if Latency is set.
 	Latency bool
+	// Empty leaves the store without configuration and budgets.
+	Empty bool
 }
 
 // New starts the stand-ins and writes configuration and budgets to the store.
@@ -117,6 +119,9 @@
 	if err := p.addNodes(o, secret); err != nil {
 		return err
 	}
+	if o.Empty {
+		return nil
+	}
 	return p.bootstrap(ctx)
 }
 
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -182,7 +182,7 @@
 	}
 	if l == nil {
 		h.noteUnmet(now, b, r.Want)
-		grant.Missing = h.why(now, b)
+		grant.Missing = h.why(now, b, nil)
 		return grant
 	}
 	h.noteUse(now, l, r)
@@ -211,7 +211,7 @@
 	l.setLimit(l.limit + add)
 	if add < need {
 		h.noteUnmet(now, b, need-add)
-		grant.Missing = h.why(now, b)
+		grant.Missing = h.why(now, b, l)
 	}
 }
 
@@ -282,8 +282,10 @@
 	return MissingPending
 }
 
-// why says why a wish cannot be met now.
-func (h *Holder) why(now time.Time, b *budgetState) MissingReason {
+// why says why a wish cannot be met now. own is the lot of the router that
+// wishes, nil if it has none. What is unused in it is no reason to wait: the
+// router knows that it is not enough.
+func (h *Holder) why(now time.Time, b *budgetState, own *lotState) MissingReason {
 	if b.unreconciled > 0 || b.thaw > 0 || h.fencing(b) || h.unresolved || h.flushFailing {
 		return MissingUnreachable
 	}
@@ -308,8 +310,10 @@
 	if unreachable {
 		return MissingUnreachable
 	}
-	if len(h.RecallTargets(b.id)) > 0 {
-		return MissingPending
+	for _, l := range h.lots {
+		if l != own && l.budget == b && l.unused() {
+			return MissingPending
+		}
 	}
 	return MissingExhausted
 }
@@ -346,13 +350,16 @@
 		return nil
 	}
 	for _, l := range h.lots {
-		if l.budget == b && l.phase == lotOpen && l.limit-l.billed > l.reserved {
+		if l.budget == b && l.unused() {
 			out = append(out, l.router)
 		}
 	}
 	return out
 }
 
+// unused reports whether the lot's router holds more than it has reserved.
+func (l *lotState) unused() bool { return l.phase == lotOpen && l.limit-l.billed > l.reserved }
+
 // Unmet is a wish that the region's escrow could not meet.
 type Unmet struct {
 	Budget ID
--- /dev/null
+++ b/internal/budget/exhausted_test.go
@@ -0,0 +1,64 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+)
+
+// Guards against a budget that has run dry and counts as unreachable, because the
+// router that asks still has a rest that is too small for the request.
+func TestOwnRestIsNoReasonToWait(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	id := MakeID("w", "")
+	account := Account{Shard: 0, Region: "r1"}
+	router := Incarnation{Name: "a", Boot: uuid.New()}
+	treasury := NewTreasury(0)
+	c.Assert(treasury.CreateBudget(id), qt.IsNil)
+	_, err := treasury.TopUp(id, "t", 100)
+	c.Assert(err, qt.IsNil)
+	h, err := NewHolder(now, TakeOver(account, nil, router), Policy{RefusalWeight: 100})
+	c.Assert(err, qt.IsNil)
+	seq := uint64(0)
+	exchange := func(from Incarnation, report LotReport) LotGrant {
+		seq++
+		report.Budget = id
+		reply := h.Exchange(now, ExchangeRequest{Account: account, Router: from, Epoch: h.Epoch(), Seq: seq, Lots: []LotReport{report}})
+		c.Assert(reply.Lots, qt.HasLen, 1)
+		return reply.Lots[0]
+	}
+	flush := func() {
+		now = now.Add(2 * time.Second)
+		h.ObserveTreasury(now, treasury)
+		plan, err := h.PrepareFlush(now, treasury)
+		c.Assert(err, qt.IsNil)
+		if plan == nil {
+			return
+		}
+		h.FlushDone(now, plan, FlushCommitted)
+		if plan.Treasury != nil {
+			treasury = plan.Treasury
+		}
+	}
+	h.ObserveTreasury(now, treasury)
+	exchange(router, LotReport{Want: 100})
+	flush()
+	lot := exchange(router, LotReport{Want: 100})
+	c.Assert(lot.Limit, qt.Equals, Tokens(100))
+
+	// The router has nothing reserved, and wants more than there is.
+	grant := exchange(router, LotReport{Lot: lot.Lot, Want: 150, Limit: 100})
+	c.Assert(grant.Missing, qt.Equals, MissingPending) // nothing was tried yet
+	flush()
+	grant = exchange(router, LotReport{Lot: lot.Lot, Want: 150, Limit: 100})
+	c.Assert(grant.Missing, qt.Equals, MissingExhausted)
+
+	// Another router may get what this one does not use.
+	other := Incarnation{Name: "b", Boot: uuid.New()}
+	grant = exchange(other, LotReport{Want: 50})
+	c.Assert(grant.Missing, qt.Equals, MissingPending)
+	c.Assert(h.RecallTargets(id), qt.DeepEquals, []Incarnation{router})
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -24,8 +24,9 @@
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
-// binary is the daemon, built once with the race detector if the tests have it.
-var binary string
+// binary is the daemon and tool the operators' tool, built once with the race
+// detector if the tests have it.
+var binary, tool string
 
 func TestMain(m *testing.M) {
 	os.Exit(func() int {
@@ -35,8 +36,8 @@
 			return 1
 		}
 		defer os.RemoveAll(dir)
-		binary = filepath.Join(dir, "monsoond")
-		build := exec.Command("go", append(buildArgs(), "-o", binary, "../../cmd/monsoond")...)
+		binary, tool = filepath.Join(dir, "monsoond"), filepath.Join(dir, "monsoonctl")
+		build := exec.Command("go", append(buildArgs(), "-o", dir, "../../cmd/monsoond", "../../cmd/monsoonctl")...)
 		build.Stderr = os.Stderr
 		if err := build.Run(); err != nil {
 			fmt.Fprintln(os.Stderr, "build:", err)
@@ -74,6 +75,13 @@
 
 // start starts a deployment and waits until its routers are ready.
 func start(t *testing.T, spec testbed.Spec, o testbed.Options) *deployment {
+	d := begin(t, spec, o)
+	d.awaitRouters()
+	return d
+}
+
+// begin starts a deployment and does not wait.
+func begin(t *testing.T, spec testbed.Spec, o testbed.Options) *deployment {
 	c := qt.New(t)
 	o.Dir = t.TempDir()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
@@ -85,12 +93,15 @@
 	for name := range p.Nodes {
 		d.run(name)
 	}
-	for name, s := range p.Nodes {
+	return d
+}
+
+func (d *deployment) awaitRouters() {
+	for name, s := range d.Nodes {
 		if s.Role == wire.RoleRouter {
 			d.awaitReady(name)
 		}
 	}
-	return d
 }
 
 // run starts the process of a host.
