Warn early of dry budgets and overload, and trace each hop

Cause: operators learned of a dry budget from refused callers, and a trace ended at the gateway. Change: a watchdog in each router grades the time that budgets last and the share of refused and queued requests, with hysteresis, as gauges and one log line per change of state. Spans for attempts at the router and at the agent, engine calls, claims and waits for grants; they hold codes, never the text of an error.

--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -134,11 +134,13 @@
 func (a *Agent) run(at *attempt) {
 	var done *wire.Done
 	var bill *budget.Bill
+	ctx, endSpan := a.startSpan(at)
 	if a.model != nil {
-		done, bill = a.runModel(at)
+		done, bill = a.runModel(ctx, at)
 	} else {
-		done, bill = a.runService(at)
+		done, bill = a.runService(ctx, at)
 	}
+	endSpan(done, bill)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.finishLocked(at, done, bill)
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -9,8 +9,11 @@
 	"strings"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/engine"
+	"github.com/monsoonworks/monsoonworks/internal/telemetry"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -99,7 +102,7 @@
 	delivered bool
 }
 
-func (a *Agent) runModel(at *attempt) (*wire.Done, *budget.Bill) {
+func (a *Agent) runModel(ctx context.Context, at *attempt) (*wire.Done, *budget.Bill) {
 	r := &modelRun{agent: a, at: at, limit: at.req.Reserve - at.req.PromptBound}
 	if at.req.MaxOutput > 0 {
 		r.limit = min(r.limit, at.req.MaxOutput)
@@ -107,9 +110,12 @@
 	if !at.req.Stream {
 		r.assembler = newAssembler(at.req.Path == chatPath)
 	}
-	err := a.model.Run(at.ctx, &engine.Request{
-		ID: at.id, Path: at.req.Path, Body: at.prepared.body, TraceParent: at.req.TraceParent,
+	ctx, span := telemetry.StartSpan(ctx, "engine.call", attribute.String("monsoon.model", at.req.Target))
+	err := a.model.Run(ctx, &engine.Request{
+		ID: at.id, Path: at.req.Path, Body: at.prepared.body, TraceParent: telemetry.TraceParent(ctx, at.req.TraceParent),
 	}, r.onEvent)
+	span.SetAttributes(attribute.Int64("monsoon.output_tokens", int64(r.output)))
+	telemetry.EndSpan(span, engineCode(err))
 	if r.events > 0 {
 		a.est.finished(time.Since(at.dispatched), r.lastAt.Sub(r.firstAt), int(r.output))
 	}
--- a/internal/agent/service.go
+++ b/internal/agent/service.go
@@ -6,8 +6,11 @@
 	"io"
 	"net/http"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/engine"
+	"github.com/monsoonworks/monsoonworks/internal/telemetry"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -17,8 +20,10 @@
 
 // runService executes a call of a plain service. Its price is the reservation; a
 // call of which no part of the answer came costs nothing.
-func (a *Agent) runService(at *attempt) (*wire.Done, *budget.Bill) {
-	resp, err := a.service.Call(at.ctx, &engine.ServiceCall{
+func (a *Agent) runService(ctx context.Context, at *attempt) (*wire.Done, *budget.Bill) {
+	ctx, span := telemetry.StartSpan(ctx, "service.call", attribute.String("monsoon.service", at.req.Target))
+	defer span.End()
+	resp, err := a.service.Call(ctx, &engine.ServiceCall{
 		Method: at.req.Method, Path: at.req.Path, Headers: at.req.Headers, Body: at.body,
 		Idempotent: at.req.Idempotent,
 	})
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -139,6 +139,7 @@
 	group.Go(func() error { return p.wallet.Run(ctx) })
 	group.Go(func() error { p.route.Run(ctx); return nil })
 	group.Go(func() error { r.followPolicy(ctx, p); return nil })
+	group.Go(func() error { r.newWatchdog(p).Run(ctx); return nil })
 	group.Go(func() error {
 		stop := func() { _ = r.public.Close() }
 		return ignoreClosed(runUntil(ctx, func() error { return p.gateway.Serve(r.public) }, stop))
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -39,6 +39,9 @@
 	reason       string
 	started      time.Time
 	claim        *wire.Claim
+	// traceCtx holds the attempt's span, and traceParent names it to the agent.
+	traceCtx    context.Context
+	traceParent string
 	// slot is nil for an attempt of an earlier call with the same key.
 	slot *slot
 	// earlier is the attempt with the same key that was followed instead.
@@ -108,7 +111,7 @@
 		PromptBound: c.PromptBound, Kind: c.Kind, Target: c.Target, Method: c.Method,
 		Path: c.Path, Headers: c.Headers, Stream: c.Stream, Priority: c.Priority,
 		Claim: a.claim, Fingerprint: c.Fingerprint, Prefixes: c.Prefixes,
-		TraceParent: c.TraceParent, Idempotent: c.Idempotent, MaxOutput: c.MaxOutput,
+		TraceParent: a.traceParent, Idempotent: c.Idempotent, MaxOutput: c.MaxOutput,
 		AccountEpoch: a.accountEpoch,
 	}
 	if !c.Deadline.IsZero() {
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -29,7 +29,7 @@
 		Replaces: r.claimed, KeyUnixMilli: keyTime,
 	}
 	for range maxClaims {
-		reply, err := r.d.Claims.Claim(r.ctx, r.call.HomeRegion, home, args)
+		reply, err := r.askHome(a, home, args)
 		if err != nil || reply.Outcome == wire.ClaimUnavailable {
 			return nil, r.homeUnreachable(err)
 		}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -189,7 +189,9 @@
 	}
 	a := newAttempt(r, choice, s)
 	defer s.ensureEnded(r.call, a.id, choice.Server.Name, choice.Server.Address)
+	endSpan := r.startSpan(a)
 	res := r.tryServer(a)
+	endSpan(res)
 	choice.Done(a.routeResult())
 	r.exclude = append(r.exclude, choice.Server.Name)
 	r.addHop(a, res)
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -43,3 +45,22 @@
 	s.OutOfReach = s.OutOfReach[:min(len(s.OutOfReach), wire.MaxAdminBudgets)]
 	return s, true
 }
+
+// Forecasts returns a forecast for each budget in use that this router holds.
+func (m *Manager) Forecasts(now time.Time) []budget.Forecast {
+	m.mu.Lock()
+	held := make([]*account, 0, len(m.accounts))
+	for _, a := range m.accounts {
+		held = append(held, a)
+	}
+	m.mu.Unlock()
+	var out []budget.Forecast
+	for _, a := range held {
+		a.mu.Lock()
+		if a.core != nil && !a.core.Deposed() {
+			out = append(out, a.core.Forecasts(now)...)
+		}
+		a.mu.Unlock()
+	}
+	return out
+}
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -72,10 +72,11 @@
 	return otel.Tracer(tracerName).Start(ctx, name, trace.WithAttributes(attributes...))
 }
 
-// EndSpan ends a span and records err, if any, as its status.
-func EndSpan(span trace.Span, err error) {
-	if err != nil {
-		span.SetStatus(codes.Error, err.Error())
+// EndSpan ends a span and records a code, if any, as its error status. It takes
+// no error: the text of one can repeat a part of a prompt.
+func EndSpan(span trace.Span, code string) {
+	if code != "" {
+		span.SetStatus(codes.Error, code)
 	}
 	span.End()
 }
--- a/internal/wallet/wallet.go
+++ b/internal/wallet/wallet.go
@@ -12,9 +12,11 @@
 
 	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/attribute"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/telemetry"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -242,7 +244,10 @@
 	wait := w.policy.GrantWait()
 	w.mu.Unlock()
 	defer w.stats.wait.UpdateSince(start)
-	hold, err := w.waitForGrant(ctx, id, amount, start.Add(wait))
+	waitCtx, span := telemetry.StartSpan(ctx, "wallet.wait_for_grant",
+		attribute.String("monsoon.budget", string(id)), attribute.Int64("monsoon.tokens", int64(amount)))
+	hold, err := w.waitForGrant(waitCtx, id, amount, start.Add(wait))
+	telemetry.EndSpan(span, spanCode(err))
 	w.mu.Lock()
 	w.addWaiting(time.Now(), id, -amount)
 	w.mu.Unlock()
@@ -261,6 +266,14 @@
 	}
 }
 
+// spanCode returns the code of an error for a span.
+func spanCode(err error) string {
+	if err == nil {
+		return ""
+	}
+	return string(verdict.CodeOf(err))
+}
+
 func (w *Wallet) waitForGrant(ctx context.Context, id budget.ID, amount budget.Tokens, until time.Time) (budget.Hold, error) {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
