Count what is left of a budget independently of where it is

Cause: a forecast added the treasury's unallocated balance, as observed before the holder's latest draw, to what was drawn since, so that a balance of 100 counted as 200 and a warning came late. Change: the holder's own draws cancel out of the sum. Conclusion: found by a test that compares what is left before and after a draw.

--- a/internal/budget/exhausted_test.go
+++ b/internal/budget/exhausted_test.go
@@ -49,6 +49,9 @@
 	lot := exchange(router, LotReport{Want: 100})
 	c.Assert(lot.Limit, qt.Equals, Tokens(100))
 
+	// What is left does not depend on where it is.
+	c.Assert(h.Forecasts(now)[0].Left, qt.Equals, Tokens(100))
+
 	// The router has nothing reserved, and wants more than there is.
 	grant := exchange(router, LotReport{Lot: lot.Lot, Want: 150, Limit: 100})
 	c.Assert(grant.Missing, qt.Equals, MissingPending) // nothing was tried yet
@@ -56,6 +59,8 @@
 	grant = exchange(router, LotReport{Lot: lot.Lot, Want: 150, Limit: 100})
 	c.Assert(grant.Missing, qt.Equals, MissingExhausted)
 
+	c.Assert(h.Forecasts(now), qt.DeepEquals, []Forecast{{Budget: id, Left: 100, Unmet: true}})
+
 	// Another router may get what this one does not use.
 	other := Incarnation{Name: "b", Boot: uuid.New()}
 	grant = exchange(other, LotReport{Want: 50})
--- a/internal/budget/forecast.go
+++ b/internal/budget/forecast.go
@@ -16,35 +16,43 @@
 
 // Forecasts returns a forecast for each budget that is in use now.
 func (h *Holder) Forecasts(now time.Time) []Forecast {
+	inLots := map[*budgetState]Tokens{}
+	for _, l := range h.lots {
+		if l.phase == lotOpen {
+			inLots[l.budget] += l.limit - l.billed
+		}
+	}
 	var out []Forecast
 	for id, b := range h.budgets {
 		unmet := b.stillUnmet(now) > 0
 		if b.demand <= 0 && !unmet {
 			continue
 		}
-		f := Forecast{Budget: id, Left: b.free() + b.thaw + b.held, DemandPerSecond: b.demand, Unmet: unmet}
+		f := Forecast{Budget: id, DemandPerSecond: b.demand, Unmet: unmet}
+		own := b.free() + b.thaw + b.held + inLots[b]
+		f.Left = own
 		if tb := h.treasury.budget(id); tb != nil {
-			f.Left += tb.Unallocated()
-			for region, held := range tb.Held {
+			f.Left = h.leftOf(tb) - (b.drawn - own)
+			for region, demand := range tb.Demand {
 				if region != h.account.Region {
-					f.Left += held
-					f.DemandPerSecond += tb.Demand[region]
+					f.DemandPerSecond += demand
 				}
 			}
 		}
 		out = append(out, f)
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	inLots := map[*budgetState]Tokens{}
-	for _, l := range h.lots {
-		if l.phase == lotOpen {
-			inLots[l.budget] += l.limit - l.billed
+	return out
+}
+
+// leftOf returns what the other regions have not used, this region's draws
+// included. The treasury was observed before this holder's latest draws, so its
+// own entry is not looked at.
+func (h *Holder) leftOf(tb *TreasuryBudget) Tokens {
+	left := tb.Paid - tb.Settled - tb.Lost
+	for region, drawn := range tb.Drawn {
+		if region != h.account.Region {
+			left -= drawn - tb.Held[region]
 		}
 	}
-	for i := range out {
-		out[i].Left += inLots[h.budgets[out[i].Budget]]
-	}
-	return out
+	return left
 }
