--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -77,6 +77,8 @@
 	Latency bool
 	// ProxyAll puts a proxy before every host, also for its own region.
 	ProxyAll bool
+	// Empty leaves the store without configuration and budgets.
+	Empty bool
 }
 
 // New starts the stand-ins and writes configuration and budgets to the store.
@@ -121,6 +123,9 @@
 	if err := p.addNodes(o, secret); err != nil {
 		return err
 	}
+	if o.Empty {
+		return nil
+	}
 	return p.bootstrap(ctx)
 }
 
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -368,13 +368,16 @@
 		return nil
 	}
 	for _, l := range h.lots {
-		if l.budget == b && l.phase == lotOpen && l.limit-l.billed > l.reserved {
+		if l.budget == b && l.unused() {
 			out = append(out, l.router)
 		}
 	}
 	return out
 }
 
+// unused reports whether the lot's router holds more than it has reserved.
+func (l *lotState) unused() bool { return l.phase == lotOpen && l.limit-l.billed > l.reserved }
+
 // Unmet is a wish that the region's escrow could not meet.
 type Unmet struct {
 	Budget ID
--- /dev/null
+++ b/internal/budget/forecast.go
@@ -0,0 +1,58 @@
+package budget
+
+import "time"
+
+// Forecast is what is left of a budget and how fast it is used, as its holder in
+// one region knows it. Amounts of other regions are as of their last flush.
+type Forecast struct {
+	Budget ID
+	// Left is what can still be spent, wherever it is.
+	Left Tokens
+	// DemandPerSecond is the use in all regions, in tokens/s.
+	DemandPerSecond float64
+	// Unmet is set if a recent wish of this region could not be met.
+	Unmet bool
+}
+
+// Forecasts returns a forecast for each budget that is in use now.
+func (h *Holder) Forecasts(now time.Time) []Forecast {
+	inLots := map[*budgetState]Tokens{}
+	for _, l := range h.lots {
+		if l.phase == lotOpen {
+			inLots[l.budget] += l.limit - l.billed
+		}
+	}
+	var out []Forecast
+	for id, b := range h.budgets {
+		unmet := b.stillUnmet(now) > 0
+		if b.demand <= 0 && !unmet {
+			continue
+		}
+		f := Forecast{Budget: id, DemandPerSecond: b.demand, Unmet: unmet}
+		own := b.free() + b.thaw + b.held + inLots[b]
+		f.Left = own
+		if tb := h.treasury.budget(id); tb != nil {
+			f.Left = h.leftOf(tb) - (b.drawn - own)
+			for region, demand := range tb.Demand {
+				if region != h.account.Region {
+					f.DemandPerSecond += demand
+				}
+			}
+		}
+		out = append(out, f)
+	}
+	return out
+}
+
+// leftOf returns what the other regions have not used, this region's draws
+// included. The treasury was observed before this holder's latest draws, so its
+// own entry is not looked at.
+func (h *Holder) leftOf(tb *TreasuryBudget) Tokens {
+	left := tb.Paid - tb.Settled - tb.Lost
+	for region, drawn := range tb.Drawn {
+		if region != h.account.Region {
+			left -= drawn - tb.Held[region]
+		}
+	}
+	return left
+}
