--- /dev/null
+++ b/devel/history/history.go
@@ -0,0 +1,207 @@
+// Package history holds what happened in a run of load: what callers sent and
+// were told, what backend servers really ran, and what was billed. It is the
+// common ground of the load generator, the checker and the report, and has no
+// logic of its own but reading and writing files.
+package history
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+)
+
+// Kinds of requests.
+const (
+	KindModel   = "model"
+	KindService = "service"
+)
+
+// Verdicts as callers are told them.
+const (
+	VerdictRan     = "ran"
+	VerdictNotRun  = "not-run"
+	VerdictUnknown = "unknown"
+)
+
+// Log is the history of one run. All times are offsets from Started.
+type Log struct {
+	Deployment string        `json:"deployment"`
+	Seed       uint64        `json:"seed"`
+	Rate       float64       `json:"rate_per_second"`
+	Started    time.Time     `json:"started"`
+	Duration   time.Duration `json:"duration_ns"`
+
+	Requests []Request `json:"requests"`
+	// Truth is set if Executions, Bills, Losses and Budgets are known. Load
+	// against a deployment elsewhere has only the callers' side.
+	Truth      bool        `json:"truth"`
+	Executions []Execution `json:"executions,omitempty"`
+	Bills      []Bill      `json:"bills,omitempty"`
+	Losses     []Loss      `json:"losses,omitempty"`
+	Budgets    []Budget    `json:"budgets,omitempty"`
+	// Kills lists the processes that ended without a drain.
+	Kills  []Kill       `json:"kills,omitempty"`
+	Faults []Fault      `json:"faults,omitempty"`
+	Link   []LinkSample `json:"link,omitempty"`
+}
+
+// Request is what one caller wanted, with all its tries.
+type Request struct {
+	// ID is the marker that the request carries and its answer repeats.
+	ID        string `json:"id"`
+	Class     string `json:"class"`
+	Workspace string `json:"workspace"`
+	Budget    string `json:"budget"`
+	Kind      string `json:"kind"`
+	Method    string `json:"method"`
+	Target    string `json:"target"`
+	// Key is the idempotency key, empty if there is none.
+	Key        string `json:"key,omitempty"`
+	Idempotent bool   `json:"idempotent"`
+	Stream     bool   `json:"stream"`
+	// Bound is the most tokens that the request may cost.
+	Bound int64 `json:"bound_tokens"`
+	// WantHash is the hash of the whole text of the right answer, 0 if the
+	// generator does not know it.
+	WantHash uint64 `json:"want_hash,omitempty"`
+	// Intended is when the schedule wanted the request to start. Latencies count
+	// from it.
+	Intended time.Duration `json:"intended_ns"`
+	Tries    []Try         `json:"tries"`
+}
+
+// Try is one HTTP exchange of a request.
+type Try struct {
+	Router string        `json:"router"`
+	Start  time.Duration `json:"start_ns"`
+	End    time.Duration `json:"end_ns"`
+	// FirstToken is when the first part of the answer came, 0 if none did.
+	FirstToken time.Duration `json:"first_token_ns,omitempty"`
+	// Gaps are the times between the tokens of a stream.
+	Gaps []time.Duration `json:"gaps_ns,omitempty"`
+	// Status is 0 if there was no answer.
+	Status    int    `json:"status,omitempty"`
+	Verdict   string `json:"verdict,omitempty"`
+	Code      string `json:"code,omitempty"`
+	RequestID string `json:"request_id,omitempty"`
+	// Echo is the marker found in the answer.
+	Echo string `json:"echo,omitempty"`
+	// Tokens counts the tokens of a model's answer, Bytes its whole body.
+	Tokens int   `json:"tokens,omitempty"`
+	Bytes  int64 `json:"bytes,omitempty"`
+	// Hash is the hash of the received text of a model's answer.
+	Hash uint64 `json:"hash,omitempty"`
+	// Complete is set if nothing showed the caller that the answer is cut short.
+	Complete bool `json:"complete"`
+	// Malformed is set if the answer is not what its content type says.
+	Malformed bool   `json:"malformed,omitempty"`
+	Err       string `json:"error,omitempty"`
+}
+
+// OK reports whether the try was answered with success and as a whole.
+func (t *Try) OK() bool { return t.Status >= 200 && t.Status < 300 && t.Complete }
+
+// Last returns the last try, nil if there was none.
+func (r *Request) Last() *Try {
+	if len(r.Tries) == 0 {
+		return nil
+	}
+	return &r.Tries[len(r.Tries)-1]
+}
+
+// Ways in which an execution can end besides a normal end.
+const (
+	EndStop     = "stop"
+	EndLength   = "length"
+	EndCanceled = "canceled"
+	EndCrashed  = "crashed"
+)
+
+// Execution is a run of a request as the backend server itself recorded it.
+type Execution struct {
+	Server string `json:"server"`
+	Kind   string `json:"kind"`
+	// Attempt is the attempt id; empty for a plain service, which gets none.
+	Attempt string        `json:"attempt,omitempty"`
+	Marker  string        `json:"marker"`
+	Key     string        `json:"key,omitempty"`
+	Start   time.Duration `json:"start_ns"`
+	End     time.Duration `json:"end_ns"`
+	// PromptTokens and Tokens are 0 for a plain service.
+	PromptTokens int    `json:"prompt_tokens,omitempty"`
+	Tokens       int    `json:"tokens,omitempty"`
+	Ending       string `json:"ending"`
+}
+
+// Whole reports whether the execution came to its normal end.
+func (e *Execution) Whole() bool { return e.Ending == EndStop || e.Ending == EndLength }
+
+// Bill is a durable bill.
+type Bill struct {
+	Budget    string `json:"budget"`
+	Request   string `json:"request"`
+	Attempt   string `json:"attempt"`
+	Target    string `json:"target"`
+	Server    string `json:"server"`
+	Amount    int64  `json:"amount_tokens"`
+	Estimated bool   `json:"estimated,omitempty"`
+	// At is when the request finished.
+	At time.Duration `json:"at_ns"`
+}
+
+// Loss is an amount that counts as spent although no bill is known.
+type Loss struct {
+	Budget string        `json:"budget"`
+	Amount int64         `json:"amount_tokens"`
+	At     time.Duration `json:"at_ns"`
+}
+
+// Budget is the durable state of a budget at the end of the run, in tokens.
+type Budget struct {
+	ID    string `json:"id"`
+	Paid  int64  `json:"paid_tokens"`
+	Spent int64  `json:"spent_tokens"`
+	Lost  int64  `json:"lost_tokens"`
+}
+
+// Kill is the end of a process without a drain.
+type Kill struct {
+	Process string        `json:"process"`
+	At      time.Duration `json:"at_ns"`
+}
+
+// Fault is an action of the fault script that was carried out.
+type Fault struct {
+	At     time.Duration `json:"at_ns"`
+	Action string        `json:"action"`
+	Target string        `json:"target,omitempty"`
+	Err    string        `json:"error,omitempty"`
+}
+
+// LinkSample is the sum of the bytes that have crossed between regions.
+type LinkSample struct {
+	At    time.Duration `json:"at_ns"`
+	Bytes int64         `json:"bytes"`
+}
+
+// WriteFile writes a value as JSON.
+func WriteFile(path string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// ReadFile reads a value that WriteFile wrote.
+func ReadFile(path string, into any) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -26,6 +26,12 @@
 	}
 }
 
+// Left returns what a drain would wait for now.
+func (a *Agent) Left() Left {
+	left, _ := a.left()
+	return left
+}
+
 // left returns what a drain waits for, and a channel that closes at the next
 // change.
 func (a *Agent) left() (Left, <-chan struct{}) {
--- a/internal/daemon/agent.go
+++ b/internal/daemon/agent.go
@@ -28,6 +28,8 @@
 	sync  *syncer.Syncer
 	agent *agent.Agent
 	inner *innerListener
+	// server holds the connections to the backend server.
+	server *trackedDialer
 }
 
 // NewAgent makes an agent and opens its listener. Run starts it.
@@ -40,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{s: s, log: log, pool: wire.NewPool(options, wire.Services{})}
+	a := &Agent{s: s, log: log, pool: wire.NewPool(options, wire.Services{}), server: newTrackedDialer()}
 	a.self = hosts.Host{
 		Name: s.Name, Address: s.Inner.Advertise, Role: s.Role, Region: s.Region, Domain: s.Domain, Pool: s.Agent.Pool,
 	}
@@ -59,6 +61,7 @@
 	a.agent = agent.New(agent.Options{
 		Identity: budget.Incarnation{Name: s.Name, Boot: boot}, Kind: kind, Pool: s.Agent.Pool,
 		URL: s.Agent.URL, Slots: s.Agent.Slots, OnCrash: a.reportCrash, Metrics: registry, Logger: log,
+		Dial: a.server.dial,
 	})
 	a.inner, err = listenInner(s.Inner.Listen, options, a.agent.Services(), log)
 	return a, err
@@ -73,6 +76,7 @@
 	group.Go(func() error { a.follow(ctx); return nil })
 	a.log.Info("agent started", "inner", a.s.Inner.Advertise, "pool", a.s.Agent.Pool)
 	err := group.Wait()
+	a.server.close()
 	a.pool.Close()
 	return err
 }
@@ -130,6 +134,13 @@
 	return nil
 }
 
+// Unsettled returns the number of requests in progress and of bills that are not
+// known to be durable.
+func (a *Agent) Unsettled() int {
+	left := a.agent.Left()
+	return len(left.Running) + left.Bills
+}
+
 // InProgress returns the number of requests that run or wait at this agent.
 func (a *Agent) InProgress() int {
 	load := a.agent.Load()
--- /dev/null
+++ b/internal/daemon/dialer.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// serverDialTimeout bounds the opening of a connection to the backend server on
+// the same host.
+const serverDialTimeout = 2 * time.Second
+
+// trackedDialer opens connections and can close them all. When an agent ends,
+// its backend server must see its connections end, also if the agent is one of
+// several in a process. It is safe for concurrent use.
+type trackedDialer struct {
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	conns  map[*trackedConn]struct{}
+	closed bool
+}
+
+func newTrackedDialer() *trackedDialer {
+	return &trackedDialer{dialer: net.Dialer{Timeout: serverDialTimeout}, conns: map[*trackedConn]struct{}{}}
+}
+
+// dial opens a connection. After close it fails with net.ErrClosed.
+func (d *trackedDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	tracked := &trackedConn{Conn: conn, dialer: d}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	d.conns[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// close ends all connections and refuses new ones.
+func (d *trackedDialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for c := range d.conns {
+		_ = c.Conn.Close()
+	}
+	clear(d.conns)
+}
+
+// trackedConn leaves its dialer's list when it is closed.
+type trackedConn struct {
+	net.Conn
+	dialer *trackedDialer
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.dialer.mu.Lock()
+	delete(c.dialer.conns, c)
+	c.dialer.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -131,7 +131,9 @@
 	group.Go(func() error { p.route.Run(ctx); return nil })
 	group.Go(func() error { r.followPolicy(ctx, p); return nil })
 	group.Go(func() error {
-		stop := func() { _ = r.public.Close() }
+		// After a drain no caller is connected. Without one, callers must see at
+		// once that the router is gone.
+		stop := func() { _ = p.gateway.Close(); _ = r.public.Close() }
 		return ignoreClosed(runUntil(ctx, func() error { return p.gateway.Serve(r.public) }, stop))
 	})
 	r.ready.Store(true)
@@ -252,6 +254,20 @@
 	return p.manager.Drain(ctx)
 }
 
+// FlushBills writes the bills that this router's holders have to the store,
+// ahead of the periodic flush, and reports whether the router's own wallet has
+// nothing left to report.
+func (r *Router) FlushBills(ctx context.Context) (settled bool) {
+	r.mu.Lock()
+	p := r.parts
+	r.mu.Unlock()
+	if p == nil {
+		return true
+	}
+	p.manager.Flush(ctx)
+	return p.wallet.Idle()
+}
+
 // PublicAddress returns the address that callers use.
 func (r *Router) PublicAddress() string { return r.public.Addr().String() }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -55,6 +55,10 @@
 // finished answers.
 func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
 
+// Close closes the listeners and all callers' connections at once. Calls in
+// progress see that their callers are gone.
+func (g *Gateway) Close() error { return g.server.Close() }
+
 // InProgress returns the number of calls that have not ended.
 func (g *Gateway) InProgress() int { return g.calls.inProgress() }
 
--- a/internal/holder/drain.go
+++ b/internal/holder/drain.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// Flush writes what is known of all held accounts to the store without waiting
+// for their periodic flush. Failures are counted and logged as those of periodic
+// flushes are.
+func (m *Manager) Flush(ctx context.Context) {
+	for _, a := range m.held() {
+		a.mu.Lock()
+		ready := a.core != nil && !a.core.Deposed()
+		a.mu.Unlock()
+		if ready {
+			m.flush(ctx, a)
+		}
+	}
+}
+
 // held returns the accounts that are not handed over.
 func (m *Manager) held() []*account {
 	m.mu.Lock()
--- a/internal/wallet/wallet.go
+++ b/internal/wallet/wallet.go
@@ -433,6 +433,14 @@
 	return w.core.Balance(id)
 }
 
+// Idle reports whether nothing is left to report: no request is in progress, all
+// bills are durable, and all agents have acknowledged it.
+func (w *Wallet) Idle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.core.Idle()
+}
+
 // Drain waits until nothing is left to report: all bills are durable and all
 // agents have acknowledged it. It fails with the error of ctx.
 func (w *Wallet) Drain(ctx context.Context) error {
