--- /dev/null
+++ b/devel/check/answers.go
@@ -0,0 +1,115 @@
+package check
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/devel/history"
+)
+
+// checkAnswers checks what callers received.
+func (c *checker) checkAnswers() {
+	for i := range c.log.Requests {
+		r := &c.log.Requests[i]
+		for n := range r.Tries {
+			t := &r.Tries[n]
+			c.checkAnswer(r, t)
+			// A streamed answer that broke off has its verdict in the trailer,
+			// which is then lost with the connection.
+			if t.Status != 0 && (t.RequestID == "" || t.Complete && t.Verdict == "") {
+				c.report(NoVerdict, r.ID, "status %d, verdict %q, request id %q", t.Status, t.Verdict, t.RequestID)
+			}
+		}
+	}
+}
+
+func (c *checker) checkAnswer(r *history.Request, t *history.Try) {
+	switch {
+	case t.Echo != "" && t.Echo != r.ID:
+		c.report(ForeignAnswer, r.ID, "the answer of %s was received from %s", t.Echo, t.Router)
+	case !t.OK():
+	case t.Malformed:
+		c.report(IncompleteAnswer, r.ID, "the answer from %s cannot be parsed", t.Router)
+	case t.Echo == "":
+		c.report(ForeignAnswer, r.ID, "the answer from %s does not have the request's marker", t.Router)
+	case r.WantHash != 0 && t.Hash != r.WantHash && c.cut(r, t):
+		c.report(IncompleteAnswer, r.ID, "%d tokens were received from %s: %s", t.Tokens, t.Router, describe(c.runs[r.ID]))
+	case r.WantHash != 0 && t.Hash != r.WantHash:
+		c.report(ForeignAnswer, r.ID, "the text from %s is not the one that the request asks for", t.Router)
+	case c.log.Truth && r.Kind == history.KindModel && c.cut(r, t):
+		c.report(IncompleteAnswer, r.ID, "%d tokens were received from %s: %s", t.Tokens, t.Router, describe(c.runs[r.ID]))
+	}
+}
+
+// cut reports whether no run of the request made a whole answer of the received
+// length.
+func (c *checker) cut(r *history.Request, t *history.Try) bool {
+	for _, e := range c.runs[r.ID] {
+		if e.Whole() && e.Tokens == t.Tokens {
+			return false
+		}
+	}
+	return c.log.Truth
+}
+
+// checkVerdicts compares what callers were told with what ran.
+func (c *checker) checkVerdicts() {
+	for i := range c.log.Requests {
+		r := &c.log.Requests[i]
+		for n := range r.Tries {
+			switch r.Tries[n].Verdict {
+			case history.VerdictNotRun:
+				c.checkNotRun(r, n)
+			case history.VerdictRan:
+				if len(c.runs[r.ID]) == 0 {
+					c.report(ToldRan, r.ID, "%s told that it ran, and no server ran it", r.Tries[n].Router)
+				}
+			}
+		}
+	}
+}
+
+// checkNotRun looks for a run of a try that was told not-run. Tries follow each
+// other, so what began between the start of one and the start of the next is a
+// run of it, unless it is known or possible that an earlier try made it.
+func (c *checker) checkNotRun(r *history.Request, n int) {
+	t := &r.Tries[n]
+	until := time.Duration(1<<63 - 1)
+	if n+1 < len(r.Tries) {
+		until = r.Tries[n+1].Start
+	}
+	for _, e := range c.runs[r.ID] {
+		if e.Start < t.Start || e.Start >= until || c.ofEarlierTry(r, n, e) {
+			continue
+		}
+		c.report(ToldNotRun, r.ID, "%s told not-run (%s) at %s, and it ran: %s", t.Router, t.Code, t.End, describe([]*history.Execution{e}))
+	}
+}
+
+// ofEarlierTry reports whether a run can be that of an earlier try whose outcome
+// was left open. The bill of a run names the request id that the router gave.
+func (c *checker) ofEarlierTry(r *history.Request, n int, e *history.Execution) bool {
+	if bills := c.bills[e.Attempt]; e.Attempt != "" && len(bills) > 0 {
+		return bills[0].Request != r.Tries[n].RequestID
+	}
+	for _, t := range r.Tries[:n] {
+		if !t.Complete || t.Verdict == history.VerdictUnknown {
+			return true
+		}
+	}
+	return false
+}
+
+// told describes what the caller of a request was told.
+func told(r *history.Request) string {
+	var parts []string
+	for _, t := range r.Tries {
+		if t.Status == 0 {
+			parts = append(parts, fmt.Sprintf("%s: %s", t.Router, t.Err))
+		} else {
+			parts = append(parts, fmt.Sprintf("%s: %d %s %s", t.Router, t.Status, t.Verdict, t.Code))
+		}
+	}
+	return strings.Join(parts, "; ")
+}
--- /dev/null
+++ b/devel/check/bills.go
@@ -0,0 +1,181 @@
+package check
+
+import (
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/devel/history"
+)
+
+// checkBills compares bills and runs.
+func (c *checker) checkBills() {
+	for attempt, bills := range c.bills {
+		if len(bills) > 1 {
+			c.report(BilledTwice, c.markerOf(bills[0]), "attempt %s has %d bills", attempt, len(bills))
+		}
+	}
+	for marker, bills := range c.billed {
+		c.checkBillsOf(c.byMarker[marker], marker, bills)
+	}
+	c.checkUnbilled()
+	for group, left := range c.orphans {
+		for _, b := range left {
+			c.report(BilledNotRun, group, "attempt %s of request %s costs %d tokens and no server ran it", b.Attempt, b.Request, b.Amount)
+		}
+	}
+}
+
+func (c *checker) markerOf(b *history.Bill) string {
+	if e := c.byAttempt[b.Attempt]; e != nil {
+		return e.Marker
+	}
+	if r := c.byID[b.Request]; r != nil {
+		return r.ID
+	}
+	return b.Request
+}
+
+// checkBillsOf checks the bills of one request.
+func (c *checker) checkBillsOf(r *history.Request, marker string, bills []*history.Bill) {
+	if r == nil {
+		return // reported with its run
+	}
+	c.checkBillCount(r, bills)
+	for _, b := range bills {
+		run := c.byAttempt[b.Attempt]
+		switch {
+		case b.Budget != r.Budget:
+			c.report(WrongBill, marker, "budget %s pays for a request of %s", b.Budget, r.Budget)
+		case r.Kind == history.KindModel && run == nil, len(c.runs[marker]) == 0:
+			c.report(BilledNotRun, marker, "attempt %s costs %d tokens and no server ran it", b.Attempt, b.Amount)
+		case b.Amount > r.Bound:
+			c.report(WrongBill, marker, "%d tokens are above the bound of %d", b.Amount, r.Bound)
+		case r.Kind == history.KindService && b.Amount != r.Bound:
+			c.report(WrongBill, marker, "%d tokens instead of the price of %d", b.Amount, r.Bound)
+		case run != nil && run.Whole() && !b.Estimated && b.Amount != cost(run):
+			c.report(WrongBill, marker, "%d tokens for a run of %d", b.Amount, cost(run))
+		}
+	}
+}
+
+// checkBillCount checks that one request has one bill. Without a key, each try
+// is a request of its own.
+func (c *checker) checkBillCount(r *history.Request, bills []*history.Bill) {
+	byRequest := map[string]int{}
+	for _, b := range bills {
+		byRequest[b.Request]++
+	}
+	for id, n := range byRequest {
+		if n > 1 {
+			c.report(BilledTwice, r.ID, "request %s has %d bills", id, n)
+			return
+		}
+	}
+	allowed := 1
+	if r.Key == "" {
+		allowed = len(r.Tries)
+	}
+	if len(bills) > allowed {
+		c.report(BilledTwice, r.ID, "it has %d bills for %d requests", len(bills), allowed)
+	}
+}
+
+func cost(e *history.Execution) int64 { return int64(e.PromptTokens + e.Tokens) }
+
+// checkUnbilled looks for runs without a bill. What a listed loss covers is
+// taken from that loss.
+func (c *checker) checkUnbilled() {
+	losses := map[string]int64{}
+	for _, l := range c.log.Losses {
+		losses[l.Budget] += l.Amount
+	}
+	for i := range c.log.Requests {
+		r := &c.log.Requests[i]
+		for _, e := range c.unbilledRuns(r) {
+			amount := cost(e)
+			if r.Kind == history.KindService {
+				amount = r.Bound
+			}
+			switch {
+			case c.takeOrphan(r), c.lostWithAgent(r, e):
+			case losses[r.Budget] >= amount:
+				losses[r.Budget] -= amount
+			default:
+				c.report(RanNotBilled, r.ID, "%d tokens at %s from %s to %s (%s), told: %s",
+					amount, e.Server, e.Start, e.End, e.Ending, told(r))
+			}
+		}
+	}
+}
+
+// unbilledRuns returns the runs of a request that need a bill and have none.
+func (c *checker) unbilledRuns(r *history.Request) []*history.Execution {
+	var out []*history.Execution
+	if r.Kind == history.KindService {
+		// Runs of a plain service carry no attempt id, so only their number can
+		// be compared.
+		for i, e := range c.runs[r.ID] {
+			if i >= len(c.billed[r.ID]) {
+				out = append(out, e)
+			}
+		}
+		return out
+	}
+	for _, e := range c.runs[r.ID] {
+		if len(c.bills[e.Attempt]) == 0 && (e.Whole() || received(r, e)) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// received reports whether a caller got a part of an answer during a run. A run
+// that ended early and of which nothing was delivered costs nothing.
+func received(r *history.Request, e *history.Execution) bool {
+	for _, t := range r.Tries {
+		if t.Tokens > 0 && t.Start <= e.End && t.End >= e.Start {
+			return true
+		}
+	}
+	return false
+}
+
+// takeOrphan matches a run of a plain service to a bill whose request id no
+// caller saw, because its connection broke before the answer.
+func (c *checker) takeOrphan(r *history.Request) bool {
+	group := r.Budget + " " + r.Target
+	if r.Kind != history.KindService || len(c.orphans[group]) == 0 || !lostAnswer(r) {
+		return false
+	}
+	c.orphans[group] = c.orphans[group][1:]
+	return true
+}
+
+// lostAnswer reports whether a try ended without an answer.
+func lostAnswer(r *history.Request) bool {
+	for _, t := range r.Tries {
+		if t.RequestID == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// resolveTime is how long a router tries to learn the outcome from an agent that
+// it has lost.
+const resolveTime = 5 * time.Second
+
+// lostWithAgent reports whether the bill was lost with its agent: a router that
+// has received nothing from a lost agent bills nothing, and tells unknown.
+func (c *checker) lostWithAgent(r *history.Request, e *history.Execution) bool {
+	for _, t := range r.Tries {
+		if t.OK() || t.Tokens > 0 || t.Verdict == history.VerdictRan {
+			return false
+		}
+	}
+	for _, k := range c.log.Kills {
+		if k.Process == e.Server && k.At >= e.Start && k.At <= e.End+resolveTime {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/devel/report/text.go
@@ -0,0 +1,143 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// maxListed bounds the violations that a text report lists.
+const maxListed = 20
+
+// Text writes a run as plain text.
+func Text(w io.Writer, r Run) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Run of %s, seed %d: %s at %.0f requests/s\n\n", r.Deployment, r.Seed, r.Duration, r.Rate)
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "requests\t%d in %d tries, %d answered as a whole\n", r.Requests, r.Tries, r.Answered)
+	fmt.Fprintf(t, "told last\t%s\n", joinCounts(r.Verdicts))
+	fmt.Fprintf(t, "errors by code\t%s\n", joinCounts(r.Refusals))
+	fmt.Fprintf(t, "overspend\t%d tokens\n", r.Overspend)
+	fmt.Fprintf(t, "false refusals\t%s\n", r.False)
+	fmt.Fprintf(t, "first token\t%s\n", r.FirstToken)
+	fmt.Fprintf(t, "between tokens\t%s\n", r.Between)
+	fmt.Fprintf(t, "whole answer\t%s\n", r.Whole)
+	fmt.Fprintf(t, "region link\t%s\n", linkText(r.LinkBytes))
+	_ = t.Flush()
+	r.classText(&b)
+	r.budgetText(&b)
+	for _, f := range r.Faults {
+		fmt.Fprintf(&b, "fault at %s: %s %s %s\n", f.At.Round(timeStep), f.Action, f.Target, f.Err)
+	}
+	r.checkText(&b)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+// timeStep is how exactly times of faults are shown.
+const timeStep = 10_000_000 // 10 ms
+
+// String returns the distribution as one line.
+func (l Latency) String() string {
+	if l.Count == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms (%d)", l.P50, l.P95, l.P99, l.Max, l.Count)
+}
+
+// String returns the counts as one line.
+func (f FalseRefusals) String() string {
+	if !f.Known {
+		return fmt.Sprintf("not known; %d refusals for budget reasons", f.Refusals)
+	}
+	return fmt.Sprintf("%d of %d refusals for budget reasons (%.3f%% of all answers)", f.False, f.Refusals, 100*f.Share)
+}
+
+func linkText(bytes int64) string {
+	if bytes < 0 {
+		return "not known"
+	}
+	return fmt.Sprintf("%.2f MB", float64(bytes)/1e6)
+}
+
+func (r *Run) classText(b *strings.Builder) {
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\nclass\trequests\tanswered\tfirst token\n")
+	for _, c := range r.Classes {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\n", c.Name, c.Requests, c.Answered, c.FirstToken)
+	}
+	_ = t.Flush()
+}
+
+func (r *Run) budgetText(b *strings.Builder) {
+	if len(r.Budgets) == 0 {
+		return
+	}
+	t := tabwriter.NewWriter(b, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\nbudget\tpaid\tspent\tlost\toverspend\t\n")
+	for _, l := range r.Budgets {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t\n", l.ID, l.Paid, l.Spent, l.Lost, l.Overspend)
+	}
+	_ = t.Flush()
+}
+
+func (r *Run) checkText(b *strings.Builder) {
+	c := &r.Check
+	fmt.Fprintf(b, "\nchecked %d requests against %d runs and %d bills: ", c.Requests, c.Executions, c.Bills)
+	if !c.Truth {
+		fmt.Fprintf(b, "only the callers' side is known; ")
+	}
+	if c.Clean() {
+		b.WriteString("no violation\n")
+		return
+	}
+	fmt.Fprintf(b, "%d VIOLATIONS\n", len(c.Violations))
+	for i, v := range c.Violations {
+		if i == maxListed {
+			fmt.Fprintf(b, "... and %d more\n", len(c.Violations)-maxListed)
+			return
+		}
+		fmt.Fprintf(b, "  %s\n", v)
+	}
+}
+
+// Compare writes the figures of two runs beside each other.
+func Compare(w io.Writer, before, after Run) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "\tbefore\tafter\tchange\n")
+	fmt.Fprintf(t, "run\t%s, seed %d\t%s, seed %d\t\n", before.Deployment, before.Seed, after.Deployment, after.Seed)
+	row := func(name string, a, b float64, unit string) {
+		change := "same"
+		switch {
+		case a == b:
+		case a == 0:
+			change = "from 0"
+		default:
+			change = fmt.Sprintf("%+.1f%%", 100*(b-a)/a)
+		}
+		fmt.Fprintf(t, "%s\t%s%s\t%s%s\t%s\n", name, number(a), unit, number(b), unit, change)
+	}
+	row("requests", float64(before.Requests), float64(after.Requests), "")
+	row("answered", float64(before.Answered), float64(after.Answered), "")
+	for _, v := range []string{"ran", "not-run", "unknown", NoAnswer} {
+		row("told "+v, float64(before.Verdicts[v]), float64(after.Verdicts[v]), "")
+	}
+	row("overspend", float64(before.Overspend), float64(after.Overspend), " tokens")
+	row("false refusals", float64(before.False.False), float64(after.False.False), "")
+	latencies := func(name string, a, b Latency) {
+		row(name+" p50", a.P50, b.P50, " ms")
+		row(name+" p95", a.P95, b.P95, " ms")
+		row(name+" p99", a.P99, b.P99, " ms")
+	}
+	latencies("first token", before.FirstToken, after.FirstToken)
+	latencies("between tokens", before.Between, after.Between)
+	row("region link", float64(before.LinkBytes), float64(after.LinkBytes), " bytes")
+	row("violations", float64(len(before.Check.Violations)), float64(len(after.Check.Violations)), "")
+	return t.Flush()
+}
+
+func number(x float64) string { return strconv.FormatFloat(x, 'f', -1, 64) }
