--- /dev/null
+++ b/devel/demo/collect.go
@@ -0,0 +1,84 @@
+package demo
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/devel/history"
+	"github.com/monsoonworks/monsoonworks/devel/standin/engine"
+	"github.com/monsoonworks/monsoonworks/devel/standin/service"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// collect adds what the backend servers ran and what is billed to a history.
+func (d *Demo) collect(ctx context.Context, log *history.Log) error {
+	d.mu.Lock()
+	log.Kills = append(log.Kills, d.kills...)
+	d.mu.Unlock()
+	for name, e := range d.Engines {
+		for _, run := range e.Runs() {
+			if run.Start.IsZero() {
+				continue // it only waited
+			}
+			log.Executions = append(log.Executions, history.Execution{
+				Server: name, Kind: history.KindModel, Attempt: run.ID, Marker: run.Echo,
+				Start: run.Start.Sub(d.started), End: run.End.Sub(d.started),
+				PromptTokens: run.PromptTokens, Tokens: run.Tokens, Ending: run.Ending,
+			})
+		}
+	}
+	for name, s := range d.Services {
+		for _, run := range s.Runs() {
+			log.Executions = append(log.Executions, serviceRun(name, run, d.started))
+		}
+	}
+	for _, w := range d.Spec.Workspaces {
+		if err := d.collectBudget(ctx, log, budget.MakeID(w.Name, "")); err != nil {
+			return err
+		}
+	}
+	log.Truth = true
+	return nil
+}
+
+func serviceRun(server string, run service.Run, started time.Time) history.Execution {
+	at := run.At.Sub(started)
+	return history.Execution{
+		Server: server, Kind: history.KindService, Marker: markerIn(run.Body + run.Path), Key: run.Key,
+		Start: at, End: at, Ending: history.EndStop,
+	}
+}
+
+// markerIn returns the marker that a call of a plain service carries.
+func markerIn(text string) string {
+	_, rest, _ := strings.Cut(text, engine.EchoOpen)
+	marker, _, _ := strings.Cut(rest, "]]")
+	return marker
+}
+
+func (d *Demo) collectBudget(ctx context.Context, log *history.Log, id budget.ID) error {
+	statement, err := d.Money.Statement(ctx, id, d.Spec.RegionNames())
+	if err != nil {
+		return err
+	}
+	for _, b := range statement.Bills {
+		log.Bills = append(log.Bills, history.Bill{
+			Budget: string(b.Budget), Request: b.Request.String(), Attempt: b.Attempt.String(), Target: b.Target,
+			Server: b.Server, Amount: int64(b.Amount), Estimated: b.Estimated, At: b.Time().Sub(d.started),
+		})
+	}
+	for _, l := range statement.Losses {
+		log.Losses = append(log.Losses, history.Loss{
+			Budget: string(l.Budget), Amount: int64(l.Amount), At: time.UnixMilli(l.UnixMilli).Sub(d.started),
+		})
+	}
+	balance, err := d.Money.Balance(ctx, id)
+	if err != nil {
+		return err
+	}
+	log.Budgets = append(log.Budgets, history.Budget{
+		ID: string(id), Paid: int64(balance.Paid), Spent: int64(balance.Spent), Lost: int64(balance.Lost),
+	})
+	return nil
+}
--- /dev/null
+++ b/devel/demo/target.go
@@ -0,0 +1,40 @@
+package demo
+
+import (
+	"context"
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/devel/history"
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+)
+
+// target lets a fault script act on the deployment. It notes processes that end
+// without a drain, because the checker must know them.
+type target struct{ *Demo }
+
+// Kill implements faults.Deployment.
+func (t target) Kill(name string) error {
+	at := time.Since(t.started)
+	if err := t.Cluster.Kill(name); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.kills = append(t.kills, history.Kill{Process: name, At: at})
+	return nil
+}
+
+// StoreDown implements faults.Deployment.
+func (t target) StoreDown(on bool) { t.Store.Controls.SetDown(on) }
+
+// StoreDelay implements faults.Deployment.
+func (t target) StoreDelay(d time.Duration) { t.Store.Controls.SetDelay(d) }
+
+// StoreLoseAnswers implements faults.Deployment.
+func (t target) StoreLoseAnswers(n int) { t.Store.Controls.LoseAnswers(n) }
+
+// TopUp implements faults.Deployment.
+func (t target) TopUp(ctx context.Context, workspace, id string, tokens int64) error {
+	_, err := t.Money.TopUp(ctx, budget.MakeID(workspace, ""), id, budget.Tokens(tokens))
+	return err
+}
--- a/devel/testbed/cluster.go
+++ b/devel/testbed/cluster.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -107,6 +110,70 @@
 	return err
 }
 
+// Kill ends one process without a drain, as a crash or the loss of its host does:
+// its listeners, its connections and its work end at once, and it tells nobody.
+// What it has not written to the store is lost.
+func (c *Cluster) Kill(name string) error {
+	n, err := c.take(name)
+	if err != nil {
+		return err
+	}
+	n.cancel()
+	<-n.done
+	return nil
+}
+
+// Running reports whether a process runs.
+func (c *Cluster) Running(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[name] != nil
+}
+
+// Settle waits until everything that ran is billed durably: holders write their
+// bills ahead of time, and agents and wallets have nothing left to report. All
+// processes must run, because a bill can wait for one that is away.
+func (c *Cluster) Settle(ctx context.Context) error {
+	ticker := time.NewTicker(settlePoll)
+	defer ticker.Stop()
+	for {
+		left := c.unsettled(ctx)
+		if len(left) == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("bills are not durable at %s: %w", strings.Join(left, ", "), ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+// settlePoll is the time between two looks at what is not durable.
+const settlePoll = 200 * time.Millisecond
+
+// unsettled returns the names of the processes with something left to report.
+func (c *Cluster) unsettled(ctx context.Context) []string {
+	c.mu.Lock()
+	nodes := maps.Clone(c.nodes)
+	c.mu.Unlock()
+	var left []string
+	for name, n := range nodes {
+		switch p := n.process.(type) {
+		case *daemon.Router:
+			if !p.FlushBills(ctx) {
+				left = append(left, name)
+			}
+		case *daemon.Agent:
+			if p.Unsettled() > 0 {
+				left = append(left, name)
+			}
+		}
+	}
+	slices.Sort(left)
+	return left
+}
+
 func (c *Cluster) take(name string) (*node, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -46,18 +46,32 @@
 
 	dir      string
 	number   uint32
+	latency  bool
 	link     *rate.Limiter
 	storeURL string
 
 	mu      sync.Mutex
 	servers []*http.Server
 	proxies map[proxyKey]*faultproxy.Proxy
-	views   map[string]string // host list URL by region
+	views   map[string]string // host list URL by domain
 	stores  map[string]string // store URL by region
 }
 
-// proxyKey names the proxy through which a region reaches a host or the store.
-type proxyKey struct{ region, target string }
+// proxyKey names the proxy through which a region, a domain or the callers reach
+// a host or the store.
+type proxyKey struct {
+	way          way
+	from, target string
+}
+
+// way is what a proxy stands for.
+type way uint8
+
+const (
+	betweenRegions way = iota
+	betweenDomains
+	fromCallers
+)
 
 // storeTarget is the name of the store among proxy targets.
 const storeTarget = "store"
@@ -72,7 +86,8 @@
 	Engine engine.Config
 	// Service is the template of the plain services.
 	Service service.Config
-	// Region and domain delays are emulated if Latency is set.
+	// Latency emulates the delays between regions, between domains and to the
+	// callers, and the rate of the link between regions.
 	Latency bool
 }
 
@@ -85,7 +100,7 @@
 		Store:    storeserver.New(memstore.New(memstore.Options{})),
 		HostList: hostlist.New(o.HostListLag),
 	}
-	if o.Latency {
+	if p.latency = o.Latency; p.latency {
 		p.link = rate.NewLimiter(rate.Limit(2*spec.LinkBytesPerSecond), linkBurstBytes)
 	}
 	p.Money = operator.Money{KV: p.Store.Store, Shards: spec.Shards}
@@ -120,14 +135,24 @@
 	return p.bootstrap(ctx)
 }
 
-// openRegion gives a region its view of the host list and its way to the store.
+// openRegion gives the domains of a region their views of the host list, and the
+// region its way to the store.
 func (p *Platform) openRegion(region, storeAddress string) error {
-	address, err := p.serve(&regionView{platform: p, region: region})
-	if err != nil {
-		return err
+	for _, d := range p.Spec.Domains {
+		if d.Region != region {
+			continue
+		}
+		address, err := p.serve(&hostView{platform: p, region: region, domain: d.Name})
+		if err != nil {
+			return err
+		}
+		p.views[d.Name] = "http://" + address + "/hosts"
 	}
-	p.views[region] = "http://" + address + "/hosts"
-	proxy, err := p.proxy(proxyKey{region, storeTarget}, storeAddress, region != p.Spec.StoreRegion)
+	var delay time.Duration
+	if region != p.Spec.StoreRegion {
+		delay = p.Spec.RegionDelay
+	}
+	proxy, err := p.proxy(proxyKey{betweenRegions, region, storeTarget}, storeAddress, delay)
 	if err != nil {
 		return err
 	}
@@ -149,8 +174,9 @@
 	return listener.Addr().String(), nil
 }
 
-// proxy returns the proxy of a key, made on first use.
-func (p *Platform) proxy(key proxyKey, target string, far bool) (*faultproxy.Proxy, error) {
+// proxy returns the proxy of a key, made on first use. The delay applies if
+// latencies are emulated.
+func (p *Platform) proxy(key proxyKey, target string, delay time.Duration) (*faultproxy.Proxy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if proxy := p.proxies[key]; proxy != nil {
@@ -160,8 +186,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if far && p.link != nil {
-		proxy.SetDelay(p.Spec.RegionDelay)
+	if p.latency {
+		proxy.SetDelay(delay)
+	}
+	if p.latency && key.way == betweenRegions && delay > 0 {
 		proxy.SetLimiter(p.link)
 	}
 	p.proxies[key] = proxy
@@ -220,7 +248,7 @@
 	s.Role, s.Name, s.Region, s.Domain = role, name, d.Region, d.Name
 	s.Inner = settings.Inner{Listen: inner, Advertise: inner, SecretFile: secret}
 	s.Store.Endpoints = []string{p.stores[d.Region]}
-	s.HostList.URL = p.views[d.Region]
+	s.HostList.URL = p.views[d.Name]
 	s.HostList.Poll = settings.Duration(200 * time.Millisecond)
 	if role == wire.RoleRouter {
 		s.Public.Listen = p.hostAddress(number, publicPort)
@@ -275,16 +303,60 @@
 // PartitionRegions makes all connections between regions silent, or lets them
 // work again.
 func (p *Platform) PartitionRegions(on bool) {
-	for key, proxy := range p.farProxies() {
-		_ = key
+	for _, proxy := range p.farProxies() {
 		proxy.Partition(on)
 	}
 }
 
+// FreezeRegions makes the open connections between regions silent for good. New
+// connections work.
+func (p *Platform) FreezeRegions() {
+	for _, proxy := range p.farProxies() {
+		proxy.Freeze()
+	}
+}
+
+// CallerURL returns the base URL through which callers reach a router, with the
+// callers' latency.
+func (p *Platform) CallerURL(router string) (string, error) {
+	s, ok := p.Nodes[router]
+	if !ok || s.Role != wire.RoleRouter {
+		return "", fmt.Errorf("%w: %q", ErrNoNode, router)
+	}
+	proxy, err := p.proxy(proxyKey{fromCallers, "", router}, s.Public.Listen, p.Spec.ClientDelay)
+	if err != nil {
+		return "", err
+	}
+	return "http://" + proxy.Address(), nil
+}
+
+// FreezeCallers makes the open connections of a router's callers silent for
+// good.
+func (p *Platform) FreezeCallers(router string) error {
+	p.mu.Lock()
+	proxy := p.proxies[proxyKey{fromCallers, "", router}]
+	p.mu.Unlock()
+	if proxy == nil {
+		return fmt.Errorf("%w: %q has no callers through a proxy", ErrNoNode, router)
+	}
+	proxy.Freeze()
+	return nil
+}
+
+// CrashEngine ends the model engine of a server as a fault would.
+func (p *Platform) CrashEngine(server string) error {
+	e := p.Engines[server]
+	if e == nil {
+		return fmt.Errorf("%w: %q", ErrNoNode, server)
+	}
+	e.Crash()
+	return nil
+}
+
 // Proxies calls f with each proxy that leads from the region to the named host.
 func (p *Platform) Proxies(region, target string, f func(*faultproxy.Proxy)) {
 	p.mu.Lock()
-	proxy := p.proxies[proxyKey{region, target}]
+	proxy := p.proxies[proxyKey{betweenRegions, region, target}]
 	p.mu.Unlock()
 	if proxy != nil {
 		f(proxy)
@@ -295,7 +367,7 @@
 func (p *Platform) StoreProxy(region string) *faultproxy.Proxy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.proxies[proxyKey{region, storeTarget}]
+	return p.proxies[proxyKey{betweenRegions, region, storeTarget}]
 }
 
 func (p *Platform) farProxies() map[proxyKey]*faultproxy.Proxy {
@@ -303,7 +375,7 @@
 	defer p.mu.Unlock()
 	out := map[proxyKey]*faultproxy.Proxy{}
 	for key, proxy := range p.proxies {
-		if key.target != storeTarget || key.region != p.Spec.StoreRegion {
+		if key.way == betweenRegions && (key.target != storeTarget || key.from != p.Spec.StoreRegion) {
 			out[key] = proxy
 		}
 	}
@@ -331,15 +403,15 @@
 	}
 }
 
-// regionView serves the host list as a region sees it: hosts of other regions
-// are reached through proxies.
-type regionView struct {
-	platform *Platform
-	region   string
+// hostView serves the host list as a domain sees it: hosts of other regions, and
+// with latencies those of other domains, are reached through proxies.
+type hostView struct {
+	platform       *Platform
+	region, domain string
 }
 
 // ServeHTTP implements http.Handler.
-func (v *regionView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (v *hostView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	list, up := v.platform.HostList.Visible()
 	if !up {
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
@@ -347,18 +419,34 @@
 	}
 	seen := make([]hosts.Host, 0, list.Len())
 	for _, h := range list.All() {
-		if h.Region != v.region {
-			proxy, err := v.platform.proxy(proxyKey{v.region, h.Name}, h.Address, true)
-			if err != nil {
-				http.Error(w, err.Error(), http.StatusInternalServerError)
-				return
-			}
-			h.Address = proxy.Address()
+		address, err := v.addressOf(h)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
 		}
+		h.Address = address
 		seen = append(seen, h)
 	}
 	hostlist.Serve(w, r, hosts.NewList(seen))
 }
 
+// addressOf returns the address at which the domain reaches a host.
+func (v *hostView) addressOf(h hosts.Host) (string, error) {
+	p := v.platform
+	key, delay := proxyKey{betweenRegions, v.region, h.Name}, p.Spec.RegionDelay
+	switch {
+	case h.Region != v.region:
+	case h.Domain != v.domain && p.latency:
+		key, delay = proxyKey{betweenDomains, v.domain, h.Name}, p.Spec.DomainDelay
+	default:
+		return h.Address, nil
+	}
+	proxy, err := p.proxy(key, h.Address, delay)
+	if err != nil {
+		return "", err
+	}
+	return proxy.Address(), nil
+}
+
 // ErrNoNode means that no process has the name.
 var ErrNoNode = errors.New("no such node")
