Take no account over from a live holder; detect a dead one at once

A takeover now checks the holder that the store names. A router is ready only when it knows a backend server.

Also add the command monsoondev with demo, load, report and platform.

--- /dev/null
+++ b/cmd/monsoondev/main.go
@@ -0,0 +1,39 @@
+// Command monsoondev contains the development tools: a demonstration of a whole
+// deployment over stand-ins, a load generator, reports, and the stand-ins alone.
+// It is not part of a release.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := command().Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "monsoondev:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "monsoondev",
+		Usage: "demonstrate and measure a deployment over stand-ins",
+		Description: "Exit codes: 0 if all went well, 1 after a failure or if the checker found a violation.\n\n" +
+			"Example: monsoondev demo --deployment yukimi",
+		Commands:              []*cli.Command{demoCommand(), loadCommand(), reportCommand(), platformCommand()},
+		EnableShellCompletion: true,
+	}
+}
+
+// deploymentFlag chooses one of the two deployments.
+func deploymentFlag() cli.Flag {
+	return &cli.StringFlag{Name: "deployment", Usage: "`NAME` of the deployment: yukimi or armor", Value: "yukimi"}
+}
--- a/devel/demo/demo.go
+++ b/devel/demo/demo.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -46,12 +47,18 @@
 // Limits of the phases around the load.
 const (
 	startLimit  = time.Minute
-	settleLimit = 2 * time.Minute
+	settleLimit = 90 * time.Second
 	stopLimit   = 2 * time.Minute
 	// linkInterval is the time between two looks at the region link's bytes.
 	linkInterval = 250 * time.Millisecond
 	// listLag is how late the host list of the platform is.
 	listLag = time.Second
+	// warmUp is the time between the start of the processes and the load. A new
+	// holder counts everything as lost that an agent may have forgotten, and takes
+	// an agent for one that may have if it started less than 10 s before the former
+	// holder's last flush. A deployment that has just started would show losses
+	// that one in service does not have.
+	warmUp = 11 * time.Second
 	// serviceLatency is how long a plain service works on a call.
 	serviceLatency = 2 * time.Millisecond
 )
@@ -70,7 +77,7 @@
 // it.
 func Start(ctx context.Context, o Options) (*Demo, error) {
 	platform, err := testbed.New(ctx, o.Spec, testbed.Options{
-		Dir: o.Dir, HostListLag: listLag, Latency: true,
+		Dir: o.Dir, Latency: true,
 		Engine: engine.Config{Seed: o.Seed}, Service: service.Config{Latency: serviceLatency},
 	})
 	if err != nil {
@@ -83,12 +90,20 @@
 		d.Close()
 		return nil, err
 	}
+	// Only changes from now on are seen late, as in a deployment that has run
+	// for a while.
+	d.HostList.SetLag(listLag)
+	select {
+	case <-time.After(warmUp):
+	case <-ctx.Done():
+	}
 	return d, nil
 }
 
 // Load sends the load with the faults, waits until all bills are durable, and
 // returns the history. Before it waits it ends all faults and starts what the
-// script has ended, as the platform does with its hosts in the end.
+// script has ended, as the platform does with its hosts in the end. After an
+// error the history can lack bills.
 func (d *Demo) Load(ctx context.Context) (*history.Log, error) {
 	generator, err := d.generator()
 	if err != nil {
@@ -109,13 +124,7 @@
 	stop()
 	side.Wait()
 	log.Duration = max(d.opts.Duration, time.Since(d.started))
-	if err := d.repair(ctx); err != nil {
-		return log, err
-	}
-	if err := d.collect(ctx, log); err != nil {
-		return log, err
-	}
-	return log, ctx.Err()
+	return log, errors.Join(d.repair(ctx), d.collect(ctx, log), ctx.Err())
 }
 
 // Evaluate checks a history and computes its report.
--- a/devel/demo/target.go
+++ b/devel/demo/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoonworks/monsoonworks/devel/faults"
 	"github.com/monsoonworks/monsoonworks/devel/history"
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 )
@@ -38,3 +39,13 @@
 	_, err := t.Money.TopUp(ctx, budget.MakeID(workspace, ""), id, budget.Tokens(tokens))
 	return err
 }
+
+// DefaultFaults returns the script of a demonstration that names none: an engine
+// crashes, and a router is killed and comes back.
+func DefaultFaults(seed uint64, duration time.Duration) faults.Script {
+	return faults.Script{Seed: seed, Steps: []faults.Step{
+		{At: duration / 4, Action: faults.CrashEngine, Target: faults.AnyEngine},
+		{At: duration / 2, Action: faults.Kill, Target: faults.AnyRouter},
+		{At: duration * 3 / 4, Action: faults.Start, Target: faults.AnyRouter},
+	}}
+}
--- a/devel/testbed/cluster.go
+++ b/devel/testbed/cluster.go
@@ -201,17 +201,6 @@
 	return first
 }
 
-// Routers returns the callers' base URLs of the routers by name.
-func (c *Cluster) Routers() map[string]string {
-	out := map[string]string{}
-	for name, s := range c.Nodes {
-		if s.Role == wire.RoleRouter {
-			out[name] = "http://" + s.Public.Listen
-		}
-	}
-	return out
-}
-
 // Settings returns the settings of a process.
 func (c *Cluster) Settings(name string) settings.Settings { return c.Nodes[name] }
 
--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -316,6 +316,17 @@
 	}
 }
 
+// Routers returns the callers' base URLs of the routers by name.
+func (p *Platform) Routers() map[string]string {
+	out := map[string]string{}
+	for name, s := range p.Nodes {
+		if s.Role == wire.RoleRouter {
+			out[name] = "http://" + s.Public.Listen
+		}
+	}
+	return out
+}
+
 // CallerURL returns the base URL through which callers reach a router, with the
 // callers' latency.
 func (p *Platform) CallerURL(router string) (string, error) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -189,7 +189,7 @@
 		Claims: claims{client, shards}, Retries: control.Retries(), Suspects: p.suspects, Metrics: r.registry,
 	})
 	p.gateway = gateway.New(gateway.Options{
-		Directory: gatewayDirectory{f, r.ready.Load}, Wallet: p.wallet, Dispatcher: dispatcher,
+		Directory: gatewayDirectory{f, r.Ready}, Wallet: p.wallet, Dispatcher: dispatcher,
 		Admission: control, Logger: r.log, Metrics: r.registry, MaxConns: r.s.Public.MaxConnections,
 	})
 	r.offer(p)
@@ -271,8 +271,11 @@
 // PublicAddress returns the address that callers use.
 func (r *Router) PublicAddress() string { return r.public.Addr().String() }
 
-// Ready reports whether the router can get callers.
-func (r *Router) Ready() bool { return r.ready.Load() }
+// Ready reports whether the router can get callers: it has the configuration and
+// knows at least one backend server. Without one it would refuse every request.
+func (r *Router) Ready() bool {
+	return r.ready.Load() && len(r.sync.Hosts().Role(wire.RoleAgent)) > 0
+}
 
 // Status returns how current the router's view is.
 func (r *Router) Status() syncer.Status { return r.sync.Status() }
--- a/internal/holder/liveness.go
+++ b/internal/holder/liveness.go
@@ -81,16 +81,19 @@
 	return who, 0, true
 }
 
-// dead reports whether a router incarnation is certainly or presumably dead: the
-// host runs another incarnation, is not listed, or cannot be reached.
+// dead is unreachable for a router that nobody misses: one that was heard of
+// lately is not asked.
 func (l *liveness) dead(ctx context.Context, router budget.Incarnation, listed []Peer) bool {
 	l.mu.Lock()
 	life := l.routers[router.Name]
 	recent := life != nil && life.boot == router.Boot && time.Since(life.lastAlive) < silentAfter
 	l.mu.Unlock()
-	if recent {
-		return false
-	}
+	return !recent && l.unreachable(ctx, router, listed)
+}
+
+// unreachable reports whether a router incarnation is certainly or presumably
+// dead: the host runs another incarnation, is not listed, or cannot be reached.
+func (l *liveness) unreachable(ctx context.Context, router budget.Incarnation, listed []Peer) bool {
 	for _, peer := range listed {
 		if peer.Name != router.Name {
 			continue
--- a/internal/holder/takeover.go
+++ b/internal/holder/takeover.go
@@ -43,7 +43,10 @@
 		m.again(a.key, since)
 		return
 	}
-	if err := m.takeOver(ctx, a); err != nil {
+	switch err := m.takeOver(ctx, a); {
+	case errors.Is(err, errHeld):
+		m.again(a.key, since)
+	case err != nil:
 		m.log.Warn("account not taken over", "shard", a.key.Shard, "region", a.key.Region, "error", err)
 	}
 }
@@ -67,7 +70,9 @@
 	record, ok := m.o.Directory.Holder(key)
 	if ok && record.Boot != m.o.Self.Boot && record.Name != "" {
 		incarnation := budget.Incarnation{Name: record.Name, Boot: record.Boot}
-		if !record.Released && !m.live.dead(ctx, incarnation, routers) {
+		// Somebody did not get an answer from it, so it is asked at once. Waiting
+		// until it has been silent for a while would add to the detection time.
+		if !record.Released && !m.live.unreachable(ctx, incarnation, routers) {
 			return false
 		}
 	}
@@ -94,6 +99,9 @@
 	if err != nil {
 		return err
 	}
+	if err := m.checkHeld(ctx, a.key, holderEntry); err != nil {
+		return err
+	}
 	record := budget.TakeOver(a.key, old, m.o.Self)
 	txn, err := m.takeOverTxn(a.key, record, holderEntry, accountEntry)
 	if err != nil {
@@ -112,6 +120,32 @@
 	return m.install(ctx, a, record, result.Revision, result.Revision)
 }
 
+// errHeld means that another router has taken the account over and is not known
+// to be dead.
+var errHeld = errors.New("the account is held by another router")
+
+// checkHeld fails with errHeld if the store names a holder that is not known to be
+// dead. The copy of the holder record that led here lags behind the store: without
+// this check, routers that have not heard of each other's takeovers take the same
+// account over in turn.
+func (m *Manager) checkHeld(ctx context.Context, key budget.Account, entry store.Entry) error {
+	if entry.ModRevision == 0 {
+		return nil
+	}
+	var record Record
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		return fmt.Errorf("%s: %w", entry.Key, err)
+	}
+	if record.Released || record.Name == "" || record.Boot == m.o.Self.Boot {
+		return nil
+	}
+	holder := budget.Incarnation{Name: record.Name, Boot: record.Boot}
+	if !m.live.unreachable(ctx, holder, m.o.Directory.Routers(key.Region)) {
+		return errHeld
+	}
+	return nil
+}
+
 func (m *Manager) readAccount(ctx context.Context, key budget.Account) (holder, acct store.Entry, old *budget.AccountRecord, err error) {
 	m.stats.storeReads.Inc(2)
 	if holder, err = m.o.Store.Get(ctx, config.HolderKey(key)); err != nil {
--- /dev/null
+++ b/internal/holder/takeover_test.go
@@ -0,0 +1,107 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"github.com/monsoonworks/monsoonworks/internal/budget"
+	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+)
+
+// takeoverPeers is a region of two routers. Its view of holder records is empty,
+// as it is before a change has been distributed. Unlisted names do not answer.
+type takeoverPeers struct {
+	routers []Peer
+
+	mu    sync.Mutex
+	alive map[string]budget.Incarnation // by address
+}
+
+func (p *takeoverPeers) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.alive)
+}
+
+func (p *takeoverPeers) Routers(string) []Peer                { return p.routers }
+func (p *takeoverPeers) Agents() []Peer                       { return nil }
+func (p *takeoverPeers) Holder(budget.Account) (Record, bool) { return Record{}, false }
+
+func (p *takeoverPeers) Call(_ context.Context, address, _ string, _, _ any) (budget.Incarnation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	who, ok := p.alive[address]
+	if !ok {
+		return who, errors.New("connection refused")
+	}
+	return who, nil
+}
+
+// takeoverWorld returns a manager of the router that comes first in rendezvous
+// order, and the other router, which the store names as the holder.
+func takeoverWorld(c *qt.C) (m *Manager, other budget.Incarnation, peers *takeoverPeers, st store.KV) {
+	key := budget.Account{Shard: 0, Region: "r"}
+	peers = &takeoverPeers{
+		routers: []Peer{{Name: "a", Address: "a:1"}, {Name: "b", Address: "b:1"}}, alive: map[string]budget.Incarnation{},
+	}
+	order := candidates(key, peers.routers)
+	self := budget.Incarnation{Name: order[0].Name, Boot: uuid.New()}
+	other = budget.Incarnation{Name: order[1].Name, Boot: uuid.New()}
+	peers.alive[order[1].Address] = other
+	st = memstore.New(memstore.Options{})
+	m = NewManager(Options{Self: self, Address: order[0].Address, Region: "r", Shards: 1, Store: st, Directory: peers, Caller: peers})
+	account, err := budget.TakeOver(key, nil, other).Encode()
+	c.Assert(err, qt.IsNil)
+	holder, err := json.Marshal(Record{Epoch: 1, Name: other.Name, Address: order[1].Address, Boot: other.Boot})
+	c.Assert(err, qt.IsNil)
+	_, err = st.Commit(context.Background(), store.Txn{Write: []store.Write{
+		{Key: config.HolderKey(key), Value: holder}, {Key: accountKey(key), Value: account},
+	}})
+	c.Assert(err, qt.IsNil)
+	return m, other, peers, st
+}
+
+// holderIn returns the name of the holder in the store.
+func holderIn(c *qt.C, st store.KV) string {
+	entry, err := st.Get(context.Background(), config.HolderKey(budget.Account{Region: "r"}))
+	c.Assert(err, qt.IsNil)
+	var record Record
+	c.Assert(json.Unmarshal(entry.Value, &record), qt.IsNil)
+	return record.Name
+}
+
+// Guards against routers that take an account over from each other in turn,
+// because their copies of the holder record lag behind the store: each takeover
+// stops the account for a while and makes claims unresolvable.
+func TestNoTakeoverFromLiveHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m, other, peers, st := takeoverWorld(c)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); _ = m.Run(ctx) }()
+		m.want(budget.Account{Region: "r"})
+		time.Sleep(2 * deadAfter)
+		c.Assert(holderIn(c, st), qt.Equals, other.Name)
+
+		// A holder that was alive a moment ago and answers no more is replaced
+		// after the detection time.
+		m.live.alive(other)
+		peers.end()
+		m.want(budget.Account{Region: "r"})
+		time.Sleep(deadAfter + time.Second)
+		c.Assert(holderIn(c, st), qt.Equals, m.o.Self.Name)
+		cancel()
+		<-done
+	})
+}
