Do not call a budget exhausted because a wish was already covered

A flush between a draw and the router's next exchange found the wish covered, drew nothing, and counted that as a draw that found nothing. For the next 5 s every larger wish was refused with 402 although the budget was unallocated: 64 streams that begin at once with a fresh budget were refused.

--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -86,6 +86,8 @@
 	Engine engine.Config
 	// Service is the template of the plain services.
 	Service service.Config
+	// WrapEngine, if not nil, is put before the HTTP interface of each engine.
+	WrapEngine func(http.Handler) http.Handler
 	// Latency emulates the delays between regions, between domains and to the
 	// callers, and the rate of the link between regions.
 	Latency bool
@@ -219,7 +221,11 @@
 	cfg := o.Engine
 	cfg.Name, cfg.Models = name, []string{p.Spec.Model.Name}
 	p.Engines[name] = engine.New(cfg)
-	address, err := p.serve(p.Engines[name].Handler())
+	handler := p.Engines[name].Handler()
+	if o.WrapEngine != nil {
+		handler = o.WrapEngine(handler)
+	}
+	address, err := p.serve(handler)
 	if err != nil {
 		return err
 	}
--- a/internal/budget/exchange.go
+++ b/internal/budget/exchange.go
@@ -241,6 +241,9 @@
 	if now.Sub(b.unmetAt) > recallFor {
 		b.unmet = 0
 	}
+	if amount > b.free()+b.held && b.drawn > 0 && b.drawTried.IsZero() {
+		b.retryAt = time.Time{} // no draw has found nothing so far
+	}
 	b.unmet = max(b.unmet, amount)
 	b.unmetAt, b.lastUse = now, now
 	b.recallUntil = now.Add(recallFor)
--- a/internal/budget/flush.go
+++ b/internal/budget/flush.go
@@ -215,7 +215,11 @@
 		draw = min(short, left)
 	}
 	if draw == 0 && unmet > 0 {
-		b.drawTried, b.retryAt = now, now.Add(exhaustedRetry)
+		b.retryAt = now.Add(exhaustedRetry)
+		// A wish that an earlier draw covers says nothing about what is left.
+		if unmet > free {
+			b.drawTried = now
+		}
 	}
 	return move{draw: draw}
 }
