--- a/cmd/monsoondev/demo.go
+++ b/cmd/monsoondev/demo.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -71,6 +73,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	o.Dir = dir
+	slog.SetDefault(o.Log)
 	out := cmd.Root().Writer
 	fmt.Fprintf(out, "starting %s: %d domains with stand-ins for the store, the host list and the backend servers\n",
 		o.Spec.Name, len(o.Spec.Domains))
@@ -170,13 +173,13 @@
 func stay(ctx context.Context, out io.Writer, d *demo.Demo) {
 	workspace := d.Spec.Workspaces[0].Name
 	fmt.Fprintf(out, "\nThe deployment goes on serving until you press Ctrl-C. Try:\n\n")
-	for _, url := range d.Routers() {
+	routers := d.Routers()
+	for _, name := range slices.Sorted(maps.Keys(routers))[:1] {
 		fmt.Fprintf(out, `curl -i %s/v1/chat/completions \
   -H 'Authorization: Bearer %s' \
   -H 'Content-Type: application/json' \
   -d '{"model": "%s", "max_tokens": 40, "messages": [{"role": "user", "content": "Which flavours this week?"}]}'
-`, url, d.Keys[workspace], d.Spec.Model.Name)
-		break
+`, routers[name], d.Keys[workspace], d.Spec.Model.Name)
 	}
 	fmt.Fprintln(out)
 	<-ctx.Done()
