--- a/devel/testbed/platform.go
+++ b/devel/testbed/platform.go
@@ -46,6 +46,7 @@
 
 	dir      string
 	number   uint32
+	latency  bool
 	proxyAll bool
 	link     *rate.Limiter
 	storeURL string
@@ -53,12 +54,25 @@
 	mu      sync.Mutex
 	servers []*http.Server
 	proxies map[proxyKey]*faultproxy.Proxy
-	views   map[string]string // host list URL by region
+	views   map[string]string // host list URL by domain
 	stores  map[string]string // store URL by region
 }
 
-// proxyKey names the proxy through which a region reaches a host or the store.
-type proxyKey struct{ region, target string }
+// proxyKey names the proxy through which a region, a domain or the callers reach
+// a host or the store.
+type proxyKey struct {
+	way          way
+	from, target string
+}
+
+// way is what a proxy stands for.
+type way uint8
+
+const (
+	betweenRegions way = iota
+	betweenDomains
+	fromCallers
+)
 
 // storeTarget is the name of the store among proxy targets.
 const storeTarget = "store"
@@ -73,7 +87,10 @@
 	Engine engine.Config
 	// Service is the template of the plain services.
 	Service service.Config
-	// Region and domain delays are emulated if Latency is set.
+	// WrapEngine, if not nil, is put before the HTTP interface of each engine.
+	WrapEngine func(http.Handler) http.Handler
+	// Latency emulates the delays between regions, between domains and to the
+	// callers, and the rate of the link between regions.
 	Latency bool
 	// ProxyAll puts a proxy before every host, also for its own region.
 	ProxyAll bool
@@ -86,12 +103,12 @@
 	p := &Platform{
 		Spec: spec, Engines: map[string]*engine.Engine{}, Services: map[string]*service.Service{},
 		Nodes: map[string]settings.Settings{}, Keys: map[string]string{}, dir: o.Dir, number: platforms.Add(1),
-		proxyAll: o.ProxyAll,
-		proxies:  map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
+		proxies: map[proxyKey]*faultproxy.Proxy{}, views: map[string]string{}, stores: map[string]string{},
 		Store:    storeserver.New(memstore.New(memstore.Options{})),
 		HostList: hostlist.New(o.HostListLag),
 	}
-	if o.Latency {
+	p.proxyAll = o.ProxyAll
+	if p.latency = o.Latency; p.latency {
 		p.link = rate.NewLimiter(rate.Limit(2*spec.LinkBytesPerSecond), linkBurstBytes)
 	}
 	p.Money = operator.Money{KV: p.Store.Store, Shards: spec.Shards}
@@ -129,14 +146,24 @@
 	return p.bootstrap(ctx)
 }
 
-// openRegion gives a region its view of the host list and its way to the store.
+// openRegion gives the domains of a region their views of the host list, and the
+// region its way to the store.
 func (p *Platform) openRegion(region, storeAddress string) error {
-	address, err := p.serve(&regionView{platform: p, region: region})
-	if err != nil {
-		return err
+	for _, d := range p.Spec.Domains {
+		if d.Region != region {
+			continue
+		}
+		address, err := p.serve(&hostView{platform: p, region: region, domain: d.Name})
+		if err != nil {
+			return err
+		}
+		p.views[d.Name] = "http://" + address + "/hosts"
+	}
+	var delay time.Duration
+	if region != p.Spec.StoreRegion {
+		delay = p.Spec.RegionDelay
 	}
-	p.views[region] = "http://" + address + "/hosts"
-	proxy, err := p.proxy(proxyKey{region, storeTarget}, storeAddress, region != p.Spec.StoreRegion)
+	proxy, err := p.proxy(proxyKey{betweenRegions, region, storeTarget}, storeAddress, delay)
 	if err != nil {
 		return err
 	}
@@ -158,8 +185,9 @@
 	return listener.Addr().String(), nil
 }
 
-// proxy returns the proxy of a key, made on first use.
-func (p *Platform) proxy(key proxyKey, target string, far bool) (*faultproxy.Proxy, error) {
+// proxy returns the proxy of a key, made on first use. The delay applies if
+// latencies are emulated.
+func (p *Platform) proxy(key proxyKey, target string, delay time.Duration) (*faultproxy.Proxy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if proxy := p.proxies[key]; proxy != nil {
@@ -169,8 +197,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if far && p.link != nil {
-		proxy.SetDelay(p.Spec.RegionDelay)
+	if p.latency {
+		proxy.SetDelay(delay)
+	}
+	if p.latency && key.way == betweenRegions && delay > 0 {
 		proxy.SetLimiter(p.link)
 	}
 	p.proxies[key] = proxy
@@ -200,7 +230,11 @@
 	cfg := o.Engine
 	cfg.Name, cfg.Models = name, []string{p.Spec.Model.Name}
 	p.Engines[name] = engine.New(cfg)
-	address, err := p.serve(p.Engines[name].Handler())
+	handler := p.Engines[name].Handler()
+	if o.WrapEngine != nil {
+		handler = o.WrapEngine(handler)
+	}
+	address, err := p.serve(handler)
 	if err != nil {
 		return err
 	}
@@ -229,7 +263,7 @@
 	s.Role, s.Name, s.Region, s.Domain = role, name, d.Region, d.Name
 	s.Inner = settings.Inner{Listen: inner, Advertise: inner, SecretFile: secret}
 	s.Store.Endpoints = []string{p.stores[d.Region]}
-	s.HostList.URL = p.views[d.Region]
+	s.HostList.URL = p.views[d.Name]
 	s.HostList.Poll = settings.Duration(200 * time.Millisecond)
 	if role == wire.RoleRouter {
 		s.Public.Listen = p.hostAddress(number, publicPort)
@@ -289,19 +323,75 @@
 	}
 }
 
-// Proxy returns the proxy through which a region reaches a host, nil if there is
+// FreezeRegions makes the open connections between regions silent for good. New
+// connections work.
+func (p *Platform) FreezeRegions() {
+	for _, proxy := range p.farProxies() {
+		proxy.Freeze()
+	}
+}
+
+// Routers returns the callers' base URLs of the routers by name.
+func (p *Platform) Routers() map[string]string {
+	out := map[string]string{}
+	for name, s := range p.Nodes {
+		if s.Role == wire.RoleRouter {
+			out[name] = "http://" + s.Public.Listen
+		}
+	}
+	return out
+}
+
+// CallerURL returns the base URL through which callers reach a router, with the
+// callers' latency.
+func (p *Platform) CallerURL(router string) (string, error) {
+	s, ok := p.Nodes[router]
+	if !ok || s.Role != wire.RoleRouter {
+		return "", fmt.Errorf("%w: %q", ErrNoNode, router)
+	}
+	proxy, err := p.proxy(proxyKey{fromCallers, "", router}, s.Public.Listen, p.Spec.ClientDelay)
+	if err != nil {
+		return "", err
+	}
+	return "http://" + proxy.Address(), nil
+}
+
+// FreezeCallers makes the open connections of a router's callers silent for
+// good.
+func (p *Platform) FreezeCallers(router string) error {
+	p.mu.Lock()
+	proxy := p.proxies[proxyKey{fromCallers, "", router}]
+	p.mu.Unlock()
+	if proxy == nil {
+		return fmt.Errorf("%w: %q has no callers through a proxy", ErrNoNode, router)
+	}
+	proxy.Freeze()
+	return nil
+}
+
+// CrashEngine ends the model engine of a server as a fault would.
+func (p *Platform) CrashEngine(server string) error {
+	e := p.Engines[server]
+	if e == nil {
+		return fmt.Errorf("%w: %q", ErrNoNode, server)
+	}
+	e.Crash()
+	return nil
+}
+
+// Proxy returns the proxy through which a domain reaches a host, nil if there is
 // none.
-func (p *Platform) Proxy(region, host string) *faultproxy.Proxy {
+func (p *Platform) Proxy(domain, host string) *faultproxy.Proxy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.proxies[proxyKey{region, host}]
+	return p.proxies[proxyKey{betweenDomains, domain, host}]
 }
 
 // StoreProxy is the region's way to the store.
 func (p *Platform) StoreProxy(region string) *faultproxy.Proxy {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.proxies[proxyKey{region, storeTarget}]
+	return p.proxies[proxyKey{betweenRegions, region, storeTarget}]
 }
 
 func (p *Platform) farProxies() map[proxyKey]*faultproxy.Proxy {
@@ -309,11 +399,7 @@
 	defer p.mu.Unlock()
 	out := map[proxyKey]*faultproxy.Proxy{}
 	for key, proxy := range p.proxies {
-		region := p.Spec.StoreRegion
-		if key.target != storeTarget {
-			region = p.Nodes[key.target].Region
-		}
-		if key.region != region {
+		if key.way == betweenRegions && (key.target != storeTarget || key.from != p.Spec.StoreRegion) {
 			out[key] = proxy
 		}
 	}
@@ -341,15 +427,15 @@
 	}
 }
 
-// regionView serves the host list as a region sees it: hosts of other regions
-// are reached through proxies.
-type regionView struct {
-	platform *Platform
-	region   string
+// hostView serves the host list as a domain sees it: hosts of other regions, and
+// with latencies those of other domains, are reached through proxies.
+type hostView struct {
+	platform       *Platform
+	region, domain string
 }
 
 // ServeHTTP implements http.Handler.
-func (v *regionView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (v *hostView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	list, up := v.platform.HostList.Visible()
 	if !up {
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
@@ -357,18 +443,34 @@
 	}
 	seen := make([]hosts.Host, 0, list.Len())
 	for _, h := range list.All() {
-		if h.Region != v.region || v.platform.proxyAll {
-			proxy, err := v.platform.proxy(proxyKey{v.region, h.Name}, h.Address, h.Region != v.region)
-			if err != nil {
-				http.Error(w, err.Error(), http.StatusInternalServerError)
-				return
-			}
-			h.Address = proxy.Address()
+		address, err := v.addressOf(h)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
 		}
+		h.Address = address
 		seen = append(seen, h)
 	}
 	hostlist.Serve(w, r, hosts.NewList(seen))
 }
 
+// addressOf returns the address at which the domain reaches a host.
+func (v *hostView) addressOf(h hosts.Host) (string, error) {
+	p := v.platform
+	key, delay := proxyKey{betweenRegions, v.region, h.Name}, p.Spec.RegionDelay
+	switch {
+	case h.Region != v.region:
+	case h.Domain != v.domain && p.latency || p.proxyAll:
+		key, delay = proxyKey{betweenDomains, v.domain, h.Name}, p.Spec.DomainDelay
+	default:
+		return h.Address, nil
+	}
+	proxy, err := p.proxy(key, h.Address, delay)
+	if err != nil {
+		return "", err
+	}
+	return proxy.Address(), nil
+}
+
 // ErrNoNode means that no process has the name.
 var ErrNoNode = errors.New("no such node")
--- a/internal/budget/draws.go
+++ b/internal/budget/draws.go
@@ -94,8 +94,12 @@
 	if short := unmet - free; short > draw {
 		draw = min(short, left)
 	}
-	if draw == 0 && unmet > free {
-		b.drawTried, b.retryAt = now, now.Add(exhaustedRetry)
+	if draw == 0 && unmet > 0 {
+		b.retryAt = now.Add(exhaustedRetry)
+		// A wish that an earlier draw covers says nothing about what is left.
+		if unmet > free {
+			b.drawTried = now
+		}
 	}
 	return move{draw: draw}
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -141,7 +141,9 @@
 	group.Go(func() error { r.followPolicy(ctx, p); return nil })
 	group.Go(func() error { r.newWatchdog(p).Run(ctx); return nil })
 	group.Go(func() error {
-		stop := func() { _ = r.public.Close() }
+		// After a drain no caller is connected. Without one, callers must see at
+		// once that the router is gone.
+		stop := func() { _ = p.gateway.Close(); _ = r.public.Close() }
 		return ignoreClosed(runUntil(ctx, func() error { return p.gateway.Serve(r.public) }, stop))
 	})
 	r.ready.Store(true)
@@ -197,7 +199,7 @@
 		Claims: claims{client, shards}, Retries: control.Retries(), Suspects: p.suspects, Metrics: r.registry,
 	})
 	p.gateway = gateway.New(gateway.Options{
-		Directory: gatewayDirectory{f, r.ready.Load}, Wallet: p.wallet, Dispatcher: dispatcher,
+		Directory: gatewayDirectory{f, r.Ready}, Wallet: p.wallet, Dispatcher: dispatcher,
 		Admission: control, Logger: r.log, Metrics: r.registry, MaxConns: r.s.Public.MaxConnections,
 		Finished: r.memory.Finished, Refused: r.memory.Refused,
 	})
@@ -263,11 +265,28 @@
 	return p.manager.Drain(ctx)
 }
 
+// FlushBills writes the bills that this router's holders have to the store,
+// ahead of the periodic flush, and reports whether the router's own wallet has
+// nothing left to report.
+func (r *Router) FlushBills(ctx context.Context) (settled bool) {
+	r.mu.Lock()
+	p := r.parts
+	r.mu.Unlock()
+	if p == nil {
+		return true
+	}
+	p.manager.Flush(ctx)
+	return p.wallet.Idle()
+}
+
 // PublicAddress returns the address that callers use.
 func (r *Router) PublicAddress() string { return r.public.Addr().String() }
 
-// Ready reports whether the router can get callers.
-func (r *Router) Ready() bool { return r.ready.Load() }
+// Ready reports whether the router can get callers: it has the configuration and
+// knows at least one backend server. Without one it would refuse every request.
+func (r *Router) Ready() bool {
+	return r.ready.Load() && len(r.sync.Hosts().Role(wire.RoleAgent)) > 0
+}
 
 // Status returns how current the router's view is.
 func (r *Router) Status() syncer.Status { return r.sync.Status() }
--- a/test/e2e/connection_test.go
+++ b/test/e2e/connection_test.go
@@ -44,7 +44,7 @@
 			d.chat("menu", 150, true), nil)
 	}()
 	server := d.busyServer()
-	d.Proxy("doo-central", server).Freeze()
+	d.Proxy("sapporo-a", server).Freeze()
 	frozen := time.Now()
 	a := <-done
 	d.c.Assert(a.err, qt.IsNil)
