Serve callers of the platform through a gate

The gate is a new role of the daemon: it finds route, workspace and server of a request, reserves its tokens from the workspace's prepaid account in the platform's store, and relays the server's answer. platform/ holds the names, formats and calls of the platform; all decisions are in internal/gate, place, fleet, prepaid and follow.

--- a/cmd/monsoond/main.go
+++ b/cmd/monsoond/main.go
@@ -1,17 +1,21 @@
-// Command monsoond is the daemon: a router or an agent, as its settings say.
+// Command monsoond is the daemon: a router, an agent or a gate, as its settings
+// say.
 package main
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/urfave/cli/v3"
 
 	"github.com/monsoonworks/monsoonworks/internal/daemon"
+	"github.com/monsoonworks/monsoonworks/internal/logsink"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 )
 
@@ -31,7 +35,7 @@
 func command() *cli.Command {
 	return &cli.Command{
 		Name:  "monsoond",
-		Usage: "route requests of prepaid workspaces, or serve beside a backend server",
+		Usage: "serve callers of prepaid workspaces, or stand beside a backend server",
 		Description: "Exit codes: 0 after a drain, 1 after a failure, 2 if the settings are wrong.\n\n" +
 			"Example: monsoond --settings router.yaml",
 		Flags: []cli.Flag{
@@ -56,9 +60,26 @@
 	if cmd.Bool("debug") {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})).
-		With("role", s.Role, "host", s.Name, "region", s.Region, "domain", s.Domain)
-	return daemon.Run(ctx, s, log, stopRequests())
+	registry := metrics.NewRegistry()
+	sink := logsink.New(os.Stdout, registry)
+	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).
+		With("host", s.Name)
+	log.Info("process started", "role", s.Role, "region", s.Region, "domain", s.Domain)
+	return runLogged(ctx, sink, func(ctx context.Context) error {
+		err := daemon.Run(ctx, s, registry, log, stopRequests())
+		log.Info("process ended", "error", err)
+		return err
+	})
+}
+
+// runLogged runs a function while the sink writes what it logs.
+func runLogged(ctx context.Context, sink *logsink.Sink, run func(context.Context) error) error {
+	written := make(chan error, 1)
+	sinkCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	go func() { written <- sink.Run(sinkCtx) }()
+	err := run(ctx)
+	stop()
+	return errors.Join(err, <-written)
 }
 
 // stopRequests delivers a value for each TERM or INT signal.
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -14,10 +14,14 @@
 	retryWindowSeconds = 10
 )
 
-// RetryBudget bounds retries to 10% of the requests of the last 10 s, or to 3
-// per second if that is more, so that retries cannot multiply an overload. It
+// RetryBudget bounds retries to a share of the requests of the last 10 s, or to a
+// fixed number if that is more, so that retries cannot multiply an overload. It
 // is safe for concurrent use. Its mutex is a leaf.
 type RetryBudget struct {
+	// percent is the share of retries in the recent requests, and floor the number
+	// of retries in the window that is always allowed.
+	percent, floor int
+
 	mu      sync.Mutex
 	seconds [retryWindowSeconds]second
 }
@@ -29,8 +33,16 @@
 	retries  int
 }
 
-// NewRetryBudget returns a budget without requests.
-func NewRetryBudget() *RetryBudget { return &RetryBudget{} }
+// NewRetryBudget returns a budget of 10% or 3 retries per second.
+func NewRetryBudget() *RetryBudget {
+	return NewRetryBudgetOf(retryPercent, minRetriesPerSecond*retryWindowSeconds)
+}
+
+// NewRetryBudgetOf returns a budget of percent of the requests of the last 10 s, or
+// of floor retries in that time if that is more.
+func NewRetryBudgetOf(percent, floor int) *RetryBudget {
+	return &RetryBudget{percent: percent, floor: floor}
+}
 
 // Request counts a request that was started.
 func (b *RetryBudget) Request() {
@@ -51,7 +63,7 @@
 			retries += s.retries
 		}
 	}
-	if retries >= max(requests*retryPercent/100, minRetriesPerSecond*retryWindowSeconds) {
+	if retries >= max(requests*b.percent/100, b.floor) {
 		return false
 	}
 	b.current(now).retries++
--- /dev/null
+++ b/internal/daemon/gate.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/monsoonworks/monsoonworks/internal/fleet"
+	"github.com/monsoonworks/monsoonworks/internal/follow"
+	"github.com/monsoonworks/monsoonworks/internal/gate"
+	"github.com/monsoonworks/monsoonworks/internal/place"
+	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/upstream"
+	"github.com/monsoonworks/monsoonworks/platform"
+)
+
+// Figures of a gate's start and stop.
+const (
+	// accountPrefix begins the keys of the workspaces' accounts in the store.
+	accountPrefix = "mw/account/"
+	// leaveRotation is how long a gate that stops goes on accepting callers, until
+	// the platform's balancer has noticed that it is not ready.
+	leaveRotation = 2300 * time.Millisecond
+	// stopReserve is the part of the drain time that is kept for giving budgets
+	// back.
+	stopReserve = 700 * time.Millisecond
+	// pruneInterval is how often idle connections to servers are closed.
+	pruneInterval = time.Second
+	// retryShareUsed is the part of the operators' retry ratio that gates use.
+	retryShareUsed = 0.85
+	// retrySlackParts divides the operators' retry slack among the gates.
+	retrySlackParts = 10
+	// bodyMemoryPart is the part of a gate's memory for callers' bodies, as one in
+	// bodyMemoryPart.
+	bodyMemoryPart = 5
+)
+
+// Gate is a gate process.
+type Gate struct {
+	s        settings.Settings
+	log      *slog.Logger
+	registry metrics.Registry
+	servers  *fleet.Table
+	book     *prepaid.Book
+	pool     *upstream.Pool
+	gate     *gate.Gate
+	front    *gate.Front
+	ready    net.Listener
+	config   *follow.Follower
+	entries  *follow.Follower
+}
+
+// NewGate makes a gate and opens its listeners. Run starts it.
+func NewGate(s settings.Settings, registry metrics.Registry, log *slog.Logger) (*Gate, error) {
+	start, err := uuid.NewRandom()
+	if err != nil {
+		return nil, err
+	}
+	st := platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry})
+	d := &Gate{s: s, log: log, registry: registry, servers: fleet.NewTable(), pool: upstream.NewPool(nil, registry)}
+	d.book = prepaid.NewBook(prepaid.Options{
+		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: accountPrefix,
+		Store: st, Policy: prepaid.DefaultPolicy(), Log: log, Metrics: registry,
+	})
+	d.gate = gate.New(gate.Options{
+		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
+		Servers: d.servers, Budgets: d.book, Pool: d.pool, Protocol: platform.Protocol{}, Policy: place.DefaultPolicy(),
+		RetryPercent:  int(s.Gate.RetryShare * retryShareUsed * 100),
+		RetryFloor:    int(s.Gate.RetrySlack / retrySlackParts),
+		MaxBodyMemory: int64(s.Gate.MemoryMB) << 20 / bodyMemoryPart,
+		Log:           log, Metrics: registry,
+	})
+	d.config = follow.New(follow.Options{Prefix: platform.ConfigPrefix, Store: st, Changed: d.applyConfig, Log: log})
+	d.entries = follow.New(follow.Options{
+		Prefix: platform.ServerPrefix, Store: st, Changed: d.applyServers, Log: log,
+		HoldDeletions: s.Gate.ServerReturn.Std(),
+	})
+	return d, d.listen()
+}
+
+func (d *Gate) listen() error {
+	callers, err := net.Listen("tcp", d.s.Gate.Listen)
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	d.front = gate.NewFront(d.gate, callers, d.log)
+	d.ready, err = net.Listen("tcp", d.s.Gate.ReadyListen)
+	if err != nil {
+		return errors.Join(fmt.Errorf("readiness: %w", err), callers.Close())
+	}
+	return nil
+}
+
+// applyConfig puts the operator's configuration into force. One that cannot be
+// read changes nothing.
+func (d *Gate) applyConfig(state follow.State) {
+	entry, ok := state.Entries[platform.ConfigKey]
+	if !ok {
+		return
+	}
+	next, err := platform.DecodeCatalog(entry.Value)
+	if err != nil {
+		d.log.Error("configuration not applied", "revision", entry.ModRevision, "error", err)
+		return
+	}
+	if current := d.gate.Catalog(); current != nil && next.Version <= current.Version {
+		return
+	}
+	paid := make(map[string]prepaid.Tokens)
+	for name, workspace := range next.Workspaces() {
+		if workspace.Metered {
+			paid[name] = workspace.Prepaid
+		}
+	}
+	d.book.SetPaid(paid)
+	d.gate.SetCatalog(next)
+	d.front.SetLimits(next.Limits)
+	d.log.Info("configuration in force", "version", next.Version, "revision", entry.ModRevision, "workspaces", len(paid))
+}
+
+// applyServers takes over the servers' entries. Entries that name no server are
+// left out.
+func (d *Gate) applyServers(state follow.State) {
+	entries := make([]fleet.Entry, 0, len(state.Entries))
+	for _, e := range state.Entries {
+		entry, err := platform.DecodeServer(e)
+		if err != nil {
+			d.log.Warn("server entry left out", "key", e.Key, "revision", e.ModRevision, "error", err)
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	for _, change := range d.servers.Apply(entries) {
+		d.log.Info("server "+change.Kind, "server", change.Entry.ID, "service", change.Entry.Service,
+			"address", change.Entry.Address, "domain", change.Entry.Domain, "revision", change.Entry.Revision)
+	}
+}
+
+// Run runs the gate until ctx ends.
+func (d *Gate) Run(ctx context.Context) error {
+	readiness := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: time.Second}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.config.Run(ctx) })
+	group.Go(func() error { return d.entries.Run(ctx) })
+	group.Go(func() error { return d.book.Run(ctx) })
+	group.Go(func() error { return d.prune(ctx) })
+	group.Go(func() error {
+		stop := func() { _ = d.front.StopAccepting() } // closed already after a drain
+		return runUntil(ctx, d.front.Run, stop)
+	})
+	group.Go(func() error {
+		stop := func() { _ = readiness.Close() } // nothing is left to be served
+		return ignoreServerClosed(runUntil(ctx, func() error { return readiness.Serve(d.ready) }, stop))
+	})
+	d.log.Info("gate started", "callers", d.s.Gate.Listen, "store", d.s.Gate.Store)
+	return group.Wait()
+}
+
+func (d *Gate) prune(ctx context.Context) error {
+	ticker := time.NewTicker(pruneInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.pool.Prune()
+		}
+	}
+}
+
+// Ready reports whether the gate can serve callers: it has a configuration, knows
+// servers and has read the accounts.
+func (d *Gate) Ready() bool {
+	return d.gate.Catalog() != nil && d.entries.Known() && d.book.Ready() && !d.gate.Draining()
+}
+
+func (d *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// InProgress returns the number of requests that have not ended.
+func (d *Gate) InProgress() int { return d.gate.InProgress() }
+
+// Drain prepares a planned stop: the gate is not ready from now on, goes on serving
+// until callers go elsewhere, waits for the requests in progress and gives back
+// what budgets it holds.
+func (d *Gate) Drain(ctx context.Context) error {
+	d.gate.Drain()
+	serving, cancel := context.WithTimeout(ctx, d.s.DrainTimeout.Std()-stopReserve)
+	defer cancel()
+	select {
+	case <-time.After(leaveRotation):
+	case <-serving.Done():
+	}
+	if err := d.front.StopAccepting(); err != nil && !errors.Is(err, net.ErrClosed) {
+		d.log.Warn("listener not closed", "error", err)
+	}
+	if err := d.front.Shutdown(serving); err != nil {
+		d.log.Warn("requests outlast the drain", "in_progress", d.InProgress(), "error", err)
+	}
+	if err := d.book.Close(ctx); err != nil {
+		d.log.Warn("budgets not given back", "error", err)
+	}
+	return nil
+}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -18,7 +18,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
-// Process is a router or an agent.
+// Process is a router, an agent or a gate.
 type Process interface {
 	// Run runs the process until ctx ends.
 	Run(ctx context.Context) error
@@ -31,6 +31,9 @@
 
 // New makes the process that the settings describe.
 func New(s settings.Settings, registry metrics.Registry, log *slog.Logger) (Process, error) {
+	if s.Role == wire.RoleGate {
+		return NewGate(s, registry, log)
+	}
 	st, err := etcdgw.New(etcdgw.Options{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout.Std()})
 	if err != nil {
 		return nil, err
@@ -45,10 +48,10 @@
 const traceFlushTimeout = 5 * time.Second
 
 // Run runs a process with its telemetry until a stop is asked for and the drain
-// has ended. stops delivers one value for each request to stop; only the first
-// starts the drain, later ones log how many requests are in progress.
-func Run(ctx context.Context, s settings.Settings, log *slog.Logger, stops <-chan struct{}) error {
-	registry := metrics.NewRegistry()
+// has ended. The registry receives its metrics. stops delivers one value for each
+// request to stop; only the first starts the drain, later ones log how many
+// requests are in progress.
+func Run(ctx context.Context, s settings.Settings, registry metrics.Registry, log *slog.Logger, stops <-chan struct{}) error {
 	flush, err := telemetry.SetupTraces(ctx, s)
 	if err != nil {
 		return err
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -171,7 +171,7 @@
 // assemble makes the parts and offers their services to peers.
 func (r *Router) assemble() *routerParts {
 	self := budget.Incarnation{Name: r.s.Name, Boot: r.boot}
-	f := fleet{view: r.sync, self: r.self}
+	f := fleetView{view: r.sync, self: r.self}
 	peers := caller{r.pool}
 	shards := r.sync.Config().Deployment.Shards
 	client := holder.NewClient(f, peers)
@@ -218,7 +218,7 @@
 
 // followPolicy passes changes of the policy weight on.
 func (r *Router) followPolicy(ctx context.Context, p *routerParts) {
-	f := fleet{view: r.sync, self: r.self}
+	f := fleetView{view: r.sync, self: r.self}
 	for {
 		changed := r.sync.Changed()
 		p.wallet.SetPolicy(f.policy())
--- a/internal/daemon/view.go
+++ b/internal/daemon/view.go
@@ -23,15 +23,15 @@
 	Status() syncer.Status
 }
 
-// fleet adapts the view to the needs of the router's parts. self is added to the
+// fleetView adapts the view to the needs of the router's parts. self is added to the
 // routers, because the host list lags.
-type fleet struct {
+type fleetView struct {
 	view
 	self hosts.Host
 }
 
 // Routers implements holder.Directory.
-func (f fleet) Routers(region string) []holder.Peer {
+func (f fleetView) Routers(region string) []holder.Peer {
 	var out []holder.Peer
 	for _, h := range f.routerHosts() {
 		if h.Region == region {
@@ -42,7 +42,7 @@
 }
 
 // routerHosts returns the routers of all regions, this one included.
-func (f fleet) routerHosts() []hosts.Host {
+func (f fleetView) routerHosts() []hosts.Host {
 	listed := f.Hosts().Role(wire.RoleRouter)
 	if _, ok := f.Hosts().Get(f.self.Name); ok {
 		return listed
@@ -51,7 +51,7 @@
 }
 
 // liveRouters counts the routers that are not leaving.
-func (f fleet) liveRouters() int {
+func (f fleetView) liveRouters() int {
 	n := 0
 	for _, h := range f.routerHosts() {
 		if !h.Leaving {
@@ -62,7 +62,7 @@
 }
 
 // Agents implements holder.Directory.
-func (f fleet) Agents() []holder.Peer {
+func (f fleetView) Agents() []holder.Peer {
 	var out []holder.Peer
 	for _, h := range f.Hosts().Role(wire.RoleAgent) {
 		out = append(out, holder.Peer{Name: h.Name, Address: h.Address, Leaving: h.Leaving})
@@ -71,7 +71,7 @@
 }
 
 // Servers implements route.Fleet.
-func (f fleet) Servers(kind wire.Kind, target string) []hosts.Host {
+func (f fleetView) Servers(kind wire.Kind, target string) []hosts.Host {
 	want := config.PoolModel
 	if kind == wire.KindService {
 		want = config.PoolService
@@ -91,13 +91,13 @@
 }
 
 // All implements route.Fleet.
-func (f fleet) All() []hosts.Host { return f.Hosts().Role(wire.RoleAgent) }
+func (f fleetView) All() []hosts.Host { return f.Hosts().Role(wire.RoleAgent) }
 
 // Server implements dispatch.Servers.
-func (f fleet) Server(name string) (hosts.Host, bool) { return f.Hosts().Get(name) }
+func (f fleetView) Server(name string) (hosts.Host, bool) { return f.Hosts().Get(name) }
 
 // linkShare is this router's share of the link to other regions, in bytes/s.
-func (f fleet) linkShare() int64 {
+func (f fleetView) linkShare() int64 {
 	routers := 0
 	for _, h := range f.routerHosts() {
 		if h.Region == f.self.Region && !h.Leaving {
@@ -108,19 +108,19 @@
 }
 
 // limits returns a workspace's limits for admission.
-func (f fleet) limits(workspace string) admission.Limits {
+func (f fleetView) limits(workspace string) admission.Limits {
 	w := f.Config().Workspaces[workspace]
 	return admission.Limits{Concurrent: w.MaxConcurrent, PerSecond: w.RequestsPerSecond}
 }
 
-func (f fleet) policy() budget.Policy {
+func (f fleetView) policy() budget.Policy {
 	d := f.Config().Deployment
 	return budget.Policy{RefusalWeight: d.RefusalWeight, Accounts: int(d.Shards) * len(d.Regions)}
 }
 
 // gatewayDirectory adapts the configuration to the gateway.
 type gatewayDirectory struct {
-	fleet
+	fleetView
 	ready func() bool
 }
 
@@ -168,7 +168,7 @@
 
 // suspectPeers adapts the fleet to the registry of suspects.
 type suspectPeers struct {
-	fleet
+	fleetView
 	caller caller
 }
 
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,141 @@
+// Package gate serves callers: it finds the route, the workspace and the server of
+// a request, keeps the workspace within its budget, and relays the server's answer.
+// It keeps nothing that must last. It knows the protocol of callers and servers
+// only through the interface Protocol.
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/monsoonworks/monsoonworks/internal/admission"
+	"github.com/monsoonworks/monsoonworks/internal/catalog"
+	"github.com/monsoonworks/monsoonworks/internal/fleet"
+	"github.com/monsoonworks/monsoonworks/internal/place"
+	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/upstream"
+)
+
+// Budgets reserves tokens of workspaces; prepaid.Book implements it.
+type Budgets interface {
+	// Reserve takes the bound of a request. Its errors are *verdict.Error with
+	// NotRun.
+	Reserve(ctx context.Context, workspace string, bound prepaid.Tokens) (*prepaid.Reservation, error)
+}
+
+// Options configure a Gate.
+type Options struct {
+	// Domain and Region are where the gate is; Regions gives the region of each
+	// failure domain.
+	Domain  string
+	Region  string
+	Regions map[string]string
+	// Servers and Budgets are what the gate works with.
+	Servers  *fleet.Table
+	Budgets  Budgets
+	Pool     *upstream.Pool
+	Protocol Protocol
+	Policy   place.Policy
+	// RetryPercent and RetryFloor bound this gate's retries at each service; see
+	// admission.RetryBudget.
+	RetryPercent int
+	RetryFloor   int
+	// MaxBodyMemory bounds the memory of callers' bodies, in bytes.
+	MaxBodyMemory int64
+	Log           *slog.Logger
+	Metrics       metrics.Registry
+}
+
+// Gate serves callers. It is safe for concurrent use. Its mutex is a leaf.
+type Gate struct {
+	opts     Options
+	stats    stats
+	catalog  atomic.Pointer[catalog.Catalog]
+	draining atomic.Bool
+	active   atomic.Int64
+	bodies   atomic.Int64 // bytes of bodies in memory
+
+	mu      sync.Mutex
+	retries map[string]*admission.RetryBudget
+}
+
+// New returns a gate without a configuration. It refuses all requests until it has
+// one.
+func New(o Options) *Gate {
+	return &Gate{opts: o, stats: newStats(o.Metrics), retries: make(map[string]*admission.RetryBudget)}
+}
+
+// SetCatalog puts a configuration into force for requests that come from now on.
+func (g *Gate) SetCatalog(c *catalog.Catalog) { g.catalog.Store(c) }
+
+// Catalog returns the configuration in force, nil if there is none yet.
+func (g *Gate) Catalog() *catalog.Catalog { return g.catalog.Load() }
+
+// InProgress returns the number of requests that have not ended.
+func (g *Gate) InProgress() int { return int(g.active.Load()) }
+
+// Drain makes every answer from now on close its connection.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (g *Gate) Draining() bool { return g.draining.Load() }
+
+// retryBudget returns the budget of retries at a service.
+func (g *Gate) retryBudget(service string) *admission.RetryBudget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.retries[service]
+	if b == nil {
+		b = admission.NewRetryBudgetOf(g.opts.RetryPercent, g.opts.RetryFloor)
+		g.retries[service] = b
+	}
+	return b
+}
+
+// distance returns how far a failure domain is from the gate.
+func (g *Gate) distance(domain string) place.Distance {
+	switch {
+	case domain == g.opts.Domain:
+		return place.SameDomain
+	case g.opts.Regions[domain] == g.opts.Region:
+		return place.SameRegion
+	default:
+		return place.OtherRegion
+	}
+}
+
+// choose picks a server of a service among those not tried yet, nil if there is
+// none.
+func (g *Gate) choose(service string, q place.Query, tried []string, now time.Time) (*fleet.Server, place.Reason) {
+	servers := g.opts.Servers.Servers(service)
+	usable := make([]*fleet.Server, 0, len(servers))
+	candidates := make([]place.Candidate, 0, len(servers))
+	for _, s := range servers {
+		if contains(tried, s.ID) || !s.Usable(now) {
+			continue
+		}
+		usable = append(usable, s)
+		candidates = append(candidates, place.Candidate{
+			Key: s.Key, Distance: g.distance(s.Domain), Waiting: s.Waiting(), Running: s.Running(), Avoid: s.Avoid(now),
+		})
+	}
+	i, reason := g.opts.Policy.Choose(q, candidates)
+	if i < 0 {
+		return nil, ""
+	}
+	return usable[i], reason
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/prepaid/account.go
@@ -0,0 +1,155 @@
+// Package prepaid keeps workspaces from spending more than they paid for. Each
+// workspace has one account record in the store. A gate may spend up to the limit
+// of its share in the record; the sum of all limits never exceeds what was paid,
+// so no gate needs another one, or the store, to admit a request. Shares move only
+// by compare-and-swap. What an ended gate may have spent counts as spent.
+package prepaid
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// Tokens is an amount of tokens.
+type Tokens = int64
+
+// recordVersion is the version of the account record.
+const recordVersion = 1
+
+// ErrDamaged means that an account record cannot be read. Nothing overwrites it.
+var ErrDamaged = merry.New("account record is damaged")
+
+// Share is a gate's part of an account.
+type Share struct {
+	// Holder names the gate's process: its host and the number of its start.
+	Holder string `json:"holder"`
+	// Limit is what the gate may spend in all.
+	Limit Tokens `json:"limit"`
+	// Spent is what it had spent when it wrote the record.
+	Spent Tokens `json:"spent"`
+	// Demand is what it spends, in tokens a second.
+	Demand Tokens `json:"demand"`
+}
+
+// Account is the record of a workspace.
+type Account struct {
+	Version int `json:"v"`
+	// Closed is what ended gates may have spent, and ClosedSpent what they are
+	// known to have spent.
+	Closed      Tokens  `json:"closed"`
+	ClosedSpent Tokens  `json:"closed_spent"`
+	Shares      []Share `json:"shares"`
+}
+
+// DecodeAccount decodes a record. A record that does not exist is an empty one.
+func DecodeAccount(raw []byte) (Account, error) {
+	a := Account{Version: recordVersion}
+	if len(raw) == 0 {
+		return a, nil
+	}
+	if err := json.Unmarshal(raw, &a); err != nil {
+		return a, merry.Wrap(ErrDamaged, merry.WithCause(err))
+	}
+	if err := a.check(); err != nil {
+		return a, merry.Wrap(ErrDamaged, merry.WithCause(err))
+	}
+	return a, nil
+}
+
+var errAmounts = errors.New("amounts contradict each other")
+
+func (a *Account) check() error {
+	if a.Version != recordVersion {
+		return fmt.Errorf("unknown version %d", a.Version)
+	}
+	if a.ClosedSpent < 0 || a.Closed < a.ClosedSpent {
+		return errAmounts
+	}
+	for _, s := range a.Shares {
+		if s.Spent < 0 || s.Limit < s.Spent || s.Demand < 0 || s.Holder == "" {
+			return errAmounts
+		}
+	}
+	return nil
+}
+
+// Encode returns the record's bytes.
+func (a *Account) Encode() ([]byte, error) { return json.Marshal(a) }
+
+// share returns a holder's share, a zero one if it has none.
+func (a *Account) share(holder string) Share {
+	for _, s := range a.Shares {
+		if s.Holder == holder {
+			return s
+		}
+	}
+	return Share{Holder: holder}
+}
+
+// limits returns the sum of what all may spend.
+func (a *Account) limits() Tokens {
+	total := a.Closed
+	for _, s := range a.Shares {
+		total += s.Limit
+	}
+	return total
+}
+
+// spent returns the sum of what is known to be spent.
+func (a *Account) spent() Tokens {
+	total := a.ClosedSpent
+	for _, s := range a.Shares {
+		total += s.Spent
+	}
+	return total
+}
+
+// demand returns the demand of all shares, in tokens a second.
+func (a *Account) demand() Tokens {
+	total := Tokens(0)
+	for _, s := range a.Shares {
+		total += s.Demand
+	}
+	return total
+}
+
+// put replaces a holder's share.
+func (a *Account) put(s Share) {
+	i := slices.IndexFunc(a.Shares, func(o Share) bool { return o.Holder == s.Holder })
+	if i >= 0 {
+		a.Shares[i] = s
+		return
+	}
+	a.Shares = append(a.Shares, s)
+}
+
+// closeShares ends the shares that ended reports. Their limits count as spent.
+func (a *Account) closeShares(ended func(holder string) bool) {
+	a.Shares = slices.DeleteFunc(a.Shares, func(s Share) bool {
+		if !ended(s.Holder) {
+			return false
+		}
+		a.Closed += s.Limit
+		a.ClosedSpent += s.Spent
+		return true
+	})
+}
+
+// holderSeparator stands between host and start in a holder's name.
+const holderSeparator = "/"
+
+// HolderName names a gate's process.
+func HolderName(host, start string) string { return host + holderSeparator + start }
+
+// sameHost reports whether two holders are processes of the same host. A process
+// starts only after the one before it on its host has ended.
+func sameHost(a, b string) bool {
+	hostA, _, _ := strings.Cut(a, holderSeparator)
+	hostB, _, _ := strings.Cut(b, holderSeparator)
+	return hostA == hostB
+}
--- /dev/null
+++ b/internal/prepaid/ledger.go
@@ -0,0 +1,144 @@
+package prepaid
+
+import (
+	"math"
+	"time"
+)
+
+// demandTime is the time constant of the average of a workspace's demand.
+const demandTime = 3 * time.Second
+
+// attempt is a write of the account whose outcome is not known.
+type attempt struct {
+	limit Tokens
+	base  int64 // the revision that it was conditional on
+}
+
+// ledger is a gate's part of one workspace's account. It is used under the mutex
+// of its Book.
+type ledger struct {
+	workspace string
+	paid      Tokens
+
+	account  Account
+	revision int64
+	known    bool  // the record was read at least once
+	damaged  error // the record cannot be read
+
+	limit      Tokens // of the share in the account
+	unresolved []attempt
+	spent      Tokens
+	reserved   Tokens
+	wanted     Tokens // the sum of the bounds that wait
+
+	demand   float64 // tokens a second, averaged
+	recent   Tokens  // reserved since the demand was averaged
+	averaged time.Time
+	synced   time.Time
+	changed  chan struct{} // closed when the account was read again
+}
+
+func newLedger(workspace string, now time.Time) *ledger {
+	return &ledger{workspace: workspace, account: Account{Version: recordVersion}, averaged: now, changed: make(chan struct{})}
+}
+
+// usable returns what the gate may spend in all, whatever became of writes whose
+// answers were lost.
+func (l *ledger) usable() Tokens {
+	limit := l.limit
+	for _, a := range l.unresolved {
+		limit = min(limit, a.limit)
+	}
+	return limit
+}
+
+// available returns what a new request may be bound to.
+func (l *ledger) available() Tokens { return l.usable() - l.spent - l.reserved }
+
+// reserve takes an amount for a request if it is available.
+func (l *ledger) reserve(amount Tokens) bool {
+	if l.available() < amount {
+		return false
+	}
+	l.reserved += amount
+	l.recent += amount
+	return true
+}
+
+// settle ends a reservation with what the request consumed.
+func (l *ledger) settle(reserved, used Tokens) {
+	l.reserved -= reserved
+	l.spent += used
+	l.recent += used - reserved
+}
+
+// average folds recent consumption into the demand.
+func (l *ledger) average(now time.Time) {
+	elapsed := now.Sub(l.averaged)
+	if elapsed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
+	l.demand += (float64(max(l.recent, 0))/elapsed.Seconds() - l.demand) * weight
+	l.recent, l.averaged = 0, now
+}
+
+// position returns the gate's view for the plan.
+func (l *ledger) position(holder string) position {
+	return position{
+		holder: holder, spent: l.spent, reserved: l.reserved,
+		demand: Tokens(l.demand), wanted: l.wanted,
+	}
+}
+
+// learn takes over the account as the store has it.
+func (l *ledger) learn(a Account, revision int64, holder string) {
+	if l.known && revision < l.revision {
+		return
+	}
+	if l.revision != revision {
+		// A write that was conditional on another revision was done before this
+		// one, and is part of it, or can never be done.
+		kept := l.unresolved[:0]
+		for _, u := range l.unresolved {
+			if u.base == revision {
+				kept = append(kept, u)
+			}
+		}
+		l.unresolved = kept
+	}
+	l.account, l.revision, l.known = a, revision, true
+	l.limit = a.share(holder).Limit
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// due reports whether the share should be changed now.
+func (l *ledger) due(holder string, now time.Time) bool {
+	if l.damaged != nil {
+		return false
+	}
+	if !l.known || l.wanted > 0 || len(l.unresolved) > 0 {
+		return true
+	}
+	age := now.Sub(l.synced)
+	written := l.account.share(holder)
+	switch {
+	case age < minSyncInterval:
+		return false
+	case l.spent == written.Spent && l.reserved == 0:
+		// An idle gate gives back what it holds.
+		return age >= maxSyncInterval && written.Limit > l.spent && l.demand < 1
+	case age >= maxSyncInterval:
+		return true
+	default:
+		return l.available()*2 < written.Limit-written.Spent
+	}
+}
+
+// dropLast removes the newest write, which certainly was not done.
+func (l *ledger) dropLast() {
+	if n := len(l.unresolved); n > 0 {
+		l.unresolved = l.unresolved[:n-1]
+	}
+}
--- /dev/null
+++ b/internal/settings/gate.go
@@ -0,0 +1,61 @@
+package settings
+
+import (
+	"fmt"
+	"time"
+)
+
+// Gate describes a gate: its listeners, the platform's store, and the bounds that
+// the operators set.
+type Gate struct {
+	// Listen is the "IP:port" for callers, ReadyListen that of the readiness check,
+	// PeerListen that for other gates.
+	Listen      string `yaml:"listen"`
+	ReadyListen string `yaml:"ready_listen"`
+	PeerListen  string `yaml:"peer_listen"`
+	// Store is the "IP:port" of the platform's store.
+	Store string `yaml:"store"`
+	// Seeds are "IP:port" of some gates, to find the others when the store does not
+	// answer.
+	Seeds []string `yaml:"seeds"`
+	// Regions gives the region of each failure domain.
+	Regions map[string]string `yaml:"regions"`
+	// RetryShare is the share of requests to a service that all gates together may
+	// send again, and RetrySlack the number of retries in 10 s that is allowed
+	// besides.
+	RetryShare float64 `yaml:"retry_share"`
+	RetrySlack float64 `yaml:"retry_slack"`
+	// MemoryMB bounds the process's memory, in megabytes.
+	MemoryMB int `yaml:"memory_mb"`
+	// ServerReturn is how long the entry of a server that lapsed in an outage of the
+	// store is awaited after the outage.
+	ServerReturn Duration `yaml:"server_return"`
+}
+
+func defaultGate() Gate {
+	return Gate{RetryShare: 0.1, RetrySlack: 30, MemoryMB: 256, ServerReturn: Duration(2200 * time.Millisecond)}
+}
+
+func (c *checker) gate(s *Settings) {
+	g := &s.Gate
+	c.address("gate.listen", g.Listen, true)
+	c.address("gate.ready_listen", g.ReadyListen, true)
+	c.address("gate.peer_listen", g.PeerListen, false)
+	c.address("gate.store", g.Store, true)
+	for i, seed := range g.Seeds {
+		c.address(fmt.Sprintf("gate.seeds[%d]", i), seed, true)
+	}
+	if g.Regions[s.Domain] == "" {
+		c.fail("gate.regions", "the region of domain %q is missing", s.Domain)
+	}
+	if g.RetryShare < 0 || g.RetryShare > 1 {
+		c.fail("gate.retry_share", "must be between 0 and 1")
+	}
+	if g.RetrySlack < 0 {
+		c.fail("gate.retry_slack", "must not be negative")
+	}
+	if g.MemoryMB <= 0 {
+		c.fail("gate.memory_mb", "must be above 0")
+	}
+	c.positive("gate.server_return", g.ServerReturn)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,7 +21,7 @@
 
 // Settings are the settings of one process.
 type Settings struct {
-	// Role selects what the process does: "router" or "agent".
+	// Role selects what the process does: "router", "agent" or "gate".
 	Role wire.Role `yaml:"role"`
 	// Name is the host's name in the platform's host list.
 	Name   string `yaml:"name"`
@@ -33,6 +33,7 @@
 	Agent     Agent     `yaml:"agent"`
 	Store     Store     `yaml:"store"`
 	HostList  HostList  `yaml:"host_list"`
+	Gate      Gate      `yaml:"gate"`
 	Telemetry Telemetry `yaml:"telemetry"`
 	// DrainTimeout bounds a planned stop. After it the process goes on draining
 	// but reports that it is late.
@@ -142,6 +143,7 @@
 		Store:        Store{Timeout: Duration(2 * time.Second)},
 		HostList:     HostList{Poll: Duration(time.Second)},
 		Telemetry:    Telemetry{Traces: Traces{SampleShare: 1}},
+		Gate:         defaultGate(),
 		DrainTimeout: Duration(5 * time.Minute),
 	}
 }
@@ -200,32 +202,39 @@
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 func (c *checker) check(s *Settings) {
-	if s.Role != wire.RoleRouter && s.Role != wire.RoleAgent {
-		c.fail("role", "must be router or agent")
-	}
 	c.name("name", s.Name)
 	c.name("region", s.Region)
 	c.name("domain", s.Domain)
-	c.address("inner.listen", s.Inner.Listen, true)
-	c.address("inner.advertise", s.Inner.Advertise, true)
-	if s.Inner.SecretFile == "" && !s.Inner.TLS.Enabled() {
-		c.fail("inner.secret_file", "a shared secret or TLS is needed")
-	}
-	c.tls("inner.tls", s.Inner.TLS, true)
 	c.address("telemetry.listen", s.Telemetry.Listen, false)
 	if share := s.Telemetry.Traces.SampleShare; share < 0 || share > 1 {
 		c.fail("telemetry.traces.sample_share", "must be between 0 and 1")
 	}
 	c.positive("drain_timeout", s.DrainTimeout)
-	c.platform(s)
 	switch s.Role {
 	case wire.RoleRouter:
+		c.inner(s)
 		c.router(s)
 	case wire.RoleAgent:
+		c.inner(s)
 		c.agent(s)
+	case wire.RoleGate:
+		c.gate(s)
+	default:
+		c.fail("role", "must be router, agent or gate")
 	}
 }
 
+// inner checks what routers and agents need to meet each other.
+func (c *checker) inner(s *Settings) {
+	c.address("inner.listen", s.Inner.Listen, true)
+	c.address("inner.advertise", s.Inner.Advertise, true)
+	if s.Inner.SecretFile == "" && !s.Inner.TLS.Enabled() {
+		c.fail("inner.secret_file", "a shared secret or TLS is needed")
+	}
+	c.tls("inner.tls", s.Inner.TLS, true)
+	c.platform(s)
+}
+
 func (c *checker) platform(s *Settings) {
 	if len(s.Store.Endpoints) == 0 {
 		c.fail("store.endpoints", "at least one URL is needed")
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -37,7 +37,10 @@
 const (
 	RoleRouter Role = "router"
 	RoleAgent  Role = "agent"
-	RoleTool   Role = "tool"
+	// RoleGate is a router that reaches backend servers itself and keeps budgets in
+	// the platform's store. It has no sessions.
+	RoleGate Role = "gate"
+	RoleTool Role = "tool"
 )
 
 // Hello is the first message each way on a session.
