Reach the store over relays beside the servers while it does not answer

Change: a relay process on each side machine passes store calls on; a share's record bounds what its gate spends over time, so that its successor on the same host takes back the rest; an account that was short of balance a moment ago is not asked again for each request. The horizon goes from 8 to 6 s.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,6 +20,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/gate"
 	"github.com/monsoonworks/monsoonworks/internal/place"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/relay"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/platform"
@@ -66,10 +68,19 @@
 	if err != nil {
 		return nil, err
 	}
-	st := platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry})
 	d := &Gate{s: s, log: log, registry: registry, servers: fleet.NewTable(), pool: upstream.NewPool(nil, registry)}
+	st := relay.NewStore(relay.Options{
+		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
+		Relays: d.relays, Log: log, Metrics: registry,
+	})
+	clock, err := prepaid.NewBootClock()
+	if err != nil {
+		log.Warn("what an earlier process left unspent cannot be told", "error", err)
+	}
+	now := clock.Now()
+	log.Info("host clock", "boot", now.Boot, "ms", now.Millis)
 	d.book = prepaid.NewBook(prepaid.Options{
-		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: accountPrefix,
+		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: accountPrefix, Clock: clock,
 		Store: st, Policy: prepaid.DefaultPolicy(), Log: log, Metrics: registry,
 	})
 	d.gate = gate.New(gate.Options{
@@ -146,6 +157,26 @@
 	}
 }
 
+// relays returns the addresses of the relays, which stand beside backend servers
+// with engines.
+func (d *Gate) relays() []string {
+	c := d.gate.Catalog()
+	if c == nil || d.s.Gate.RelayPort == 0 {
+		return nil
+	}
+	port := uint16(d.s.Gate.RelayPort)
+	var addresses []string
+	for _, s := range d.servers.All() {
+		service := c.Service(s.Service)
+		address, err := netip.ParseAddrPort(s.Address)
+		if err != nil || service == nil || service.Engine == nil {
+			continue
+		}
+		addresses = append(addresses, netip.AddrPortFrom(address.Addr(), port).String())
+	}
+	return addresses
+}
+
 // Run runs the gate until ctx ends.
 func (d *Gate) Run(ctx context.Context) error {
 	readiness := &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: time.Second}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -18,7 +18,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
-// Process is a router, an agent or a gate.
+// Process is a router, an agent, a gate or a relay.
 type Process interface {
 	// Run runs the process until ctx ends.
 	Run(ctx context.Context) error
@@ -31,8 +31,11 @@
 
 // New makes the process that the settings describe.
 func New(s settings.Settings, registry metrics.Registry, log *slog.Logger) (Process, error) {
-	if s.Role == wire.RoleGate {
+	switch s.Role {
+	case wire.RoleGate:
 		return NewGate(s, registry, log)
+	case wire.RoleRelay:
+		return NewRelay(s, registry, log)
 	}
 	st, err := etcdgw.New(etcdgw.Options{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout.Std()})
 	if err != nil {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -56,6 +56,15 @@
 // not be changed.
 func (t *Table) Servers(service string) []*Server { return (*t.byService.Load())[service] }
 
+// All returns all servers that take new requests.
+func (t *Table) All() []*Server {
+	var all []*Server
+	for _, servers := range *t.byService.Load() {
+		all = append(all, servers...)
+	}
+	return all
+}
+
 // Change is what Apply found new, for logs.
 type Change struct {
 	Entry Entry
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,6 +1,5 @@
 // Package follow keeps a local copy of the keys under a prefix of the store. It
-// reads them once and then watches them. While the store does not answer, it asks
-// peers that may still hear it.
+// reads them once and then watches them.
 package follow
 
 import (
@@ -27,19 +26,16 @@
 	Revision int64
 }
 
-// Peers gives states that other processes hold.
-type Peers interface {
-	// Newest returns a state of the prefix that is newer than revision, and false
-	// if no peer that answers has one.
-	Newest(ctx context.Context, prefix string, revision int64) (State, bool)
+// Source is what a follower needs of the store.
+type Source interface {
+	store.KV
+	store.Watcher
 }
 
 // Options configure a Follower.
 type Options struct {
 	Prefix string
-	Store  store.Store
-	// Peers is nil if there are none.
-	Peers Peers
+	Store  Source
 	// HoldDeletions is how long the deletion of a key waits for the key's return
 	// when contact with the store was lost shortly before. Leases may have lapsed
 	// during an outage of the store, and their keys come back.
@@ -100,7 +96,6 @@
 			return nil
 		}
 		f.lost(err)
-		f.askPeers(ctx)
 		if time.Since(began) > maxPause {
 			pause = minPause
 		}
@@ -207,17 +202,6 @@
 	f.inContact = false
 }
 
-// askPeers takes over a newer state from a peer.
-func (f *Follower) askPeers(ctx context.Context) {
-	if f.opts.Peers == nil {
-		return
-	}
-	if state, ok := f.opts.Peers.Newest(ctx, f.opts.Prefix, f.State().Revision); ok {
-		f.opts.Log.Info("state taken from a peer", "prefix", f.opts.Prefix, "revision", state.Revision)
-		f.replace(state)
-	}
-}
-
 // holding reports whether deletions wait now. f.mu is held.
 func (f *Follower) holding(now time.Time) bool {
 	return f.opts.HoldDeletions > 0 && (!f.inContact || !f.regained.IsZero() && now.Sub(f.regained) < f.opts.HoldDeletions)
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -53,6 +53,7 @@
 	stream   streamState
 	status   int
 	code     verdict.Code
+	detail   string // of a refusal
 }
 
 // ServeHTTP implements http.Handler.
@@ -236,13 +237,13 @@
 // refuse answers with an error of the gate's own.
 func (x *exchange) refuse(err *verdict.Error) {
 	x.gate.stats.refused(err.Code)
-	x.code, x.status = err.Code, verdict.HTTPStatus(err.Code)
+	x.code, x.status, x.detail = err.Code, verdict.HTTPStatus(err.Code), err.Detail
 	header := x.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	if err.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	text := string(err.Code) + " (" + err.Verdict.String() + "): " + err.Detail + "\n"
+	text := string(err.Code) + " (" + err.Verdict.String() + ")\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
 	x.w.WriteHeader(x.status)
 	// A caller that is gone does not get it.
--- a/internal/gate/log.go
+++ b/internal/gate/log.go
@@ -13,7 +13,7 @@
 		slog.Int64("ms", time.Since(x.started).Milliseconds()),
 	}
 	if x.code != "" {
-		attributes = append(attributes, slog.String("code", string(x.code)))
+		attributes = append(attributes, slog.String("code", string(x.code)), slog.String("detail", x.detail))
 	}
 	if x.catalog != nil {
 		attributes = append(attributes, slog.Int64("config", x.catalog.Version))
--- a/internal/prepaid/account.go
+++ b/internal/prepaid/account.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -34,6 +35,33 @@
 	Spent Tokens `json:"spent"`
 	// Demand is what it spends, in tokens a second.
 	Demand Tokens `json:"demand"`
+	// Allowance is what the gate may spend over time after it wrote the record. It
+	// tells what a gate that ended cannot have spent.
+	Allowance Allowance `json:"allow"`
+}
+
+// Allowance bounds what a gate spends after it wrote its share: Burst at once and
+// Rate tokens a second. The gate keeps to it, besides its limit.
+type Allowance struct {
+	Burst Tokens `json:"burst"`
+	Rate  Tokens `json:"rate"`
+	// At is when the gate wrote the share, by its host's clock.
+	At Instant `json:"at"`
+}
+
+// after returns what may be spent within d.
+func (a Allowance) after(d time.Duration) Tokens {
+	return a.Burst + Tokens(float64(a.Rate)*d.Seconds())
+}
+
+// boundAt returns what the share's gate can have spent at most when the present
+// process of its host started. Without a common clock that is the limit.
+func (s Share) boundAt(start Instant) Tokens {
+	elapsed, ok := start.Since(s.Allowance.At)
+	if !ok {
+		return s.Limit
+	}
+	return min(s.Limit, s.Spent+s.Allowance.after(elapsed))
 }
 
 // Account is the record of a workspace.
@@ -71,7 +99,8 @@
 		return errAmounts
 	}
 	for _, s := range a.Shares {
-		if s.Spent < 0 || s.Limit < s.Spent || s.Demand < 0 || s.Holder == "" {
+		if s.Spent < 0 || s.Limit < s.Spent || s.Demand < 0 || s.Holder == "" ||
+			s.Allowance.Burst < 0 || s.Allowance.Rate < 0 {
 			return errAmounts
 		}
 	}
@@ -128,13 +157,14 @@
 	a.Shares = append(a.Shares, s)
 }
 
-// closeShares ends the shares that ended reports. Their limits count as spent.
-func (a *Account) closeShares(ended func(holder string) bool) {
+// closeBefore ends the shares of earlier processes of a holder's host, which have
+// ended when this one started. What they can have spent counts as spent.
+func (a *Account) closeBefore(holder string, start Instant) {
 	a.Shares = slices.DeleteFunc(a.Shares, func(s Share) bool {
-		if !ended(s.Holder) {
+		if s.Holder == holder || !sameHost(s.Holder, holder) {
 			return false
 		}
-		a.Closed += s.Limit
+		a.Closed += s.boundAt(start)
 		a.ClosedSpent += s.Spent
 		return true
 	})
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,7 @@
 	// minSyncInterval and maxSyncInterval bound how often a share is changed
 	// without a request that waits for it.
 	minSyncInterval = 400 * time.Millisecond
-	maxSyncInterval = 4 * time.Second
+	maxSyncInterval = 1500 * time.Millisecond
 	// tick is how often the book looks for shares to change.
 	tick = 100 * time.Millisecond
 	// accountsPerTxn is the number of accounts in one transaction. Each takes a
@@ -33,6 +34,9 @@
 	// minBackoff and maxBackoff bound the pause after a failed exchange.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// shortMemory is how long an account that could not cover a request is not asked
+	// again for others.
+	shortMemory = 500 * time.Millisecond
 	// retryUnreached is the Retry-After of a request that the gate's share does not
 	// cover, though the workspace's balance may.
 	retryUnreached = 500 * time.Millisecond
@@ -43,7 +47,9 @@
 	// Holder names this process; see HolderName.
 	Holder string
 	// Prefix begins the accounts' keys in the store.
-	Prefix  string
+	Prefix string
+	// Clock is the host's; see NewBootClock.
+	Clock   Clock
 	Store   store.KV
 	Policy  Policy
 	Log     *slog.Logger
@@ -53,6 +59,7 @@
 // Book holds a gate's shares of all accounts. It is safe for concurrent use.
 type Book struct {
 	opts  Options
+	self  identity
 	wake  chan struct{}
 	stats stats
 
@@ -72,7 +79,7 @@
 		return metrics.GetOrRegisterCounter("monsoon.prepaid."+name, o.Metrics)
 	}
 	return &Book{
-		opts: o, wake: make(chan struct{}, 1), ledgers: make(map[string]*ledger),
+		opts: o, self: identity{o.Holder, o.Clock.Now()}, wake: make(chan struct{}, 1), ledgers: make(map[string]*ledger),
 		stats: stats{
 			syncs: counter("syncs"), conflicts: counter("conflicts"), lost: counter("answers_lost"),
 			unavailable: counter("store_unavailable"), waits: counter("waits"),
@@ -135,7 +142,7 @@
 func (b *Book) Reserve(ctx context.Context, workspace string, bound Tokens) (*Reservation, error) {
 	b.mu.Lock()
 	l := b.ledgers[workspace]
-	if l != nil && l.reserve(bound) {
+	if l != nil && l.reserve(bound, b.opts.Clock.Now()) {
 		b.mu.Unlock()
 		return &Reservation{book: b, ledger: l, amount: bound}, nil
 	}
@@ -158,10 +165,10 @@
 	l.wanted += bound
 	defer func() { l.wanted -= bound }()
 	for {
-		if l.reserve(bound) {
+		if l.reserve(bound, b.opts.Clock.Now()) {
 			return &Reservation{book: b, ledger: l, amount: bound}, nil
 		}
-		if err := l.refusal(b.opts.Holder, bound, began); err != nil {
+		if err := l.refusal(b.self, b.opts.Clock.Now(), bound, began); err != nil {
 			b.countRefusal(err)
 			return nil, err
 		}
@@ -171,6 +178,7 @@
 		err := wait(ctx, changed, timeout.C)
 		b.mu.Lock()
 		if err != nil {
+			err.Detail += ": " + l.describe(b.opts.Clock.Now())
 			b.countRefusal(err)
 			return nil, err
 		}
@@ -191,23 +199,37 @@
 }
 
 // refusal returns the error of a request that waiting does not help, nil if it
-// may. An account that was read before the request began to wait proves nothing.
-func (l *ledger) refusal(holder string, bound Tokens, began time.Time) *verdict.Error {
+// may. An account that was read before the request began to wait proves nothing,
+// unless it was short of balance a moment ago.
+func (l *ledger) refusal(self identity, now Instant, bound Tokens, began time.Time) *verdict.Error {
 	if l.damaged != nil {
 		return unreached("the workspace's account cannot be read")
 	}
 	if !l.known {
 		return nil
 	}
-	if !l.account.mayCover(l.position(holder), l.paid, bound) {
-		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request")
+	if !l.account.mayCover(l.position(self, now), l.paid, bound) {
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", l.describe(now))
 	}
 	if l.synced.After(began) {
-		return unreached("other gates hold what is left of the balance")
+		if l.limit()-l.spent-l.reserved < bound {
+			l.short = l.synced
+		}
+		return unreached("other gates hold what is left of the balance: " + l.describe(now))
+	}
+	if began.Sub(l.short) < shortMemory {
+		return unreached("other gates held what is left of the balance a moment ago: " + l.describe(now))
 	}
 	return nil
 }
 
+// describe gives the amounts that decide about a request, for logs.
+func (l *ledger) describe(now Instant) string {
+	others := l.account.limits() - l.account.Closed - l.account.share(l.share.Holder).Limit
+	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended gates %d of which spent %d, account read %d ms ago",
+		l.paid, l.spent, l.reserved, l.limit(), l.usable(now), others, l.account.Closed, l.account.ClosedSpent, time.Since(l.synced).Milliseconds())
+}
+
 func unreached(detail string) *verdict.Error {
 	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnreached, "%s", detail).WithRetryAfter(retryUnreached)
 }
@@ -274,7 +296,7 @@
 		if now.Sub(l.averaged) >= tick {
 			l.average(now)
 		}
-		if !l.due(b.opts.Holder, now) {
+		if !l.due(b.opts.Clock.Now(), now) {
 			continue
 		}
 		if l.wanted > 0 {
@@ -291,7 +313,7 @@
 type planner func(l *ledger) Account
 
 func (b *Book) planShares(l *ledger) Account {
-	return b.opts.Policy.plan(l.account, l.position(b.opts.Holder), l.paid)
+	return b.opts.Policy.plan(l.account, l.position(b.self, b.opts.Clock.Now()), l.paid)
 }
 
 // exchange writes the planned accounts in one transaction. Another gate's change
@@ -340,7 +362,7 @@
 		txn.Write = append(txn.Write, store.Write{Key: key, Value: raw})
 	}
 	for i, l := range batch {
-		l.unresolved = append(l.unresolved, attempt{limit: proposals[i].share(b.opts.Holder).Limit, base: l.revision})
+		l.unresolved = append(l.unresolved, attempt{share: proposals[i].share(b.opts.Holder), base: l.revision})
 	}
 	return txn, proposals, nil
 }
@@ -412,7 +434,7 @@
 	defer b.mu.Unlock()
 	var batches [][]*ledger
 	for _, l := range b.ledgers {
-		if l.limit == 0 && len(l.unresolved) == 0 || l.damaged != nil {
+		if l.share.Limit == 0 && len(l.unresolved) == 0 || l.damaged != nil {
 			continue
 		}
 		if n := len(batches); n == 0 || len(batches[n-1]) == accountsPerTxn {
@@ -427,8 +449,10 @@
 func (b *Book) planEnd(l *ledger) Account {
 	next := l.account
 	next.Shares = append([]Share(nil), l.account.Shares...)
+	next.closeBefore(b.self.holder, b.self.start)
 	used := l.spent + l.reserved
-	next.put(Share{Holder: b.opts.Holder, Limit: used, Spent: used})
-	next.closeShares(func(holder string) bool { return sameHost(holder, b.opts.Holder) })
+	next.Closed += used
+	next.ClosedSpent += used
+	next.Shares = slices.DeleteFunc(next.Shares, func(s Share) bool { return s.Holder == b.self.holder })
 	return next
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -10,10 +10,16 @@
 
 // attempt is a write of the account whose outcome is not known.
 type attempt struct {
-	limit Tokens
+	share Share
 	base  int64 // the revision that it was conditional on
 }
 
+// identity is who holds a share and since when.
+type identity struct {
+	holder string
+	start  Instant
+}
+
 // ledger is a gate's part of one workspace's account. It is used under the mutex
 // of its Book.
 type ledger struct {
@@ -25,7 +31,7 @@
 	known    bool  // the record was read at least once
 	damaged  error // the record cannot be read
 
-	limit      Tokens // of the share in the account
+	share      Share // as it is in the account
 	unresolved []attempt
 	spent      Tokens
 	reserved   Tokens
@@ -35,6 +41,7 @@
 	recent   Tokens  // reserved since the demand was averaged
 	averaged time.Time
 	synced   time.Time
+	short    time.Time     // when a request was refused for want of balance
 	changed  chan struct{} // closed when the account was read again
 }
 
@@ -42,22 +49,32 @@
 	return &ledger{workspace: workspace, account: Account{Version: recordVersion}, averaged: now, changed: make(chan struct{})}
 }
 
-// usable returns what the gate may spend in all, whatever became of writes whose
-// answers were lost.
-func (l *ledger) usable() Tokens {
-	limit := l.limit
+// usable returns what the gate may have spent in all by now, whatever became of
+// writes whose answers were lost.
+func (l *ledger) usable(now Instant) Tokens {
+	usable := l.share.boundAt(now)
+	for _, a := range l.unresolved {
+		usable = min(usable, a.share.boundAt(now))
+	}
+	return usable
+}
+
+// limit returns what the gate may spend without writing again, however long it
+// takes.
+func (l *ledger) limit() Tokens {
+	limit := l.share.Limit
 	for _, a := range l.unresolved {
-		limit = min(limit, a.limit)
+		limit = min(limit, a.share.Limit)
 	}
 	return limit
 }
 
 // available returns what a new request may be bound to.
-func (l *ledger) available() Tokens { return l.usable() - l.spent - l.reserved }
+func (l *ledger) available(now Instant) Tokens { return l.usable(now) - l.spent - l.reserved }
 
 // reserve takes an amount for a request if it is available.
-func (l *ledger) reserve(amount Tokens) bool {
-	if l.available() < amount {
+func (l *ledger) reserve(amount Tokens, now Instant) bool {
+	if l.available(now) < amount {
 		return false
 	}
 	l.reserved += amount
@@ -84,9 +101,9 @@
 }
 
 // position returns the gate's view for the plan.
-func (l *ledger) position(holder string) position {
+func (l *ledger) position(self identity, now Instant) position {
 	return position{
-		holder: holder, spent: l.spent, reserved: l.reserved,
+		holder: self.holder, start: self.start, now: now, spent: l.spent, reserved: l.reserved,
 		demand: Tokens(l.demand), wanted: l.wanted,
 	}
 }
@@ -108,13 +125,13 @@
 		l.unresolved = kept
 	}
 	l.account, l.revision, l.known = a, revision, true
-	l.limit = a.share(holder).Limit
+	l.share = a.share(holder)
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
-// due reports whether the share should be changed now.
-func (l *ledger) due(holder string, now time.Time) bool {
+// due reports whether the share should be written now.
+func (l *ledger) due(instant Instant, now time.Time) bool {
 	if l.damaged != nil {
 		return false
 	}
@@ -122,17 +139,17 @@
 		return true
 	}
 	age := now.Sub(l.synced)
-	written := l.account.share(holder)
 	switch {
 	case age < minSyncInterval:
 		return false
-	case l.spent == written.Spent && l.reserved == 0:
+	case l.spent == l.share.Spent && l.reserved == 0:
 		// An idle gate gives back what it holds.
-		return age >= maxSyncInterval && written.Limit > l.spent && l.demand < 1
+		return age >= maxSyncInterval && l.share.Limit > l.spent && l.demand < 1
 	case age >= maxSyncInterval:
 		return true
 	default:
-		return l.available()*2 < written.Limit-written.Spent
+		return l.limit()-l.spent-l.reserved < (l.share.Limit-l.share.Spent)/2 ||
+			l.available(instant) < l.share.Allowance.Burst/4
 	}
 }
 
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -12,17 +12,29 @@
 	FirstShare Tokens
 	// LargestPart bounds a share's window to one in LargestPart of what is left.
 	LargestPart Tokens
+	// BurstTime is the demand that a gate may spend at once after it wrote its
+	// share, and RatePercent what it may spend over time, in percent of its demand.
+	BurstTime   time.Duration
+	RatePercent Tokens
+	// MinBurst and MinRate let a gate with little demand serve a large request.
+	MinBurst Tokens
+	MinRate  Tokens
 }
 
 // DefaultPolicy returns the figures for gates that must bear an outage of the store
-// of some seconds.
+// of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 8 * time.Second, FirstShare: 64, LargestPart: 2}
+	return Policy{
+		Horizon: 6 * time.Second, FirstShare: 48, LargestPart: 2,
+		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 16000, MinRate: 2000,
+	}
 }
 
 // position is a gate's own view of its share.
 type position struct {
 	holder string
+	// start is when the gate's process started, now when the plan is made.
+	start, now Instant
 	// spent is settled, reserved is held by requests in progress.
 	spent, reserved Tokens
 	demand          Tokens
@@ -35,14 +47,13 @@
 func (p Policy) plan(a Account, self position, paid Tokens) Account {
 	next := a
 	next.Shares = append([]Share(nil), a.Shares...)
-	next.closeShares(func(holder string) bool {
-		return holder != self.holder && sameHost(holder, self.holder)
-	})
+	next.closeBefore(self.holder, self.start)
 	next.put(Share{Holder: self.holder, Spent: self.spent, Demand: self.demand, Limit: self.spent + self.reserved})
 	free := max(paid-next.limits(), 0)
 	window := p.window(&next, self, paid)
 	share := next.share(self.holder)
 	share.Limit += min(max(window-self.reserved, 0), free)
+	share.Allowance = p.allowance(self)
 	next.put(share)
 	return next
 }
@@ -60,6 +71,16 @@
 	return max(min(target, fair), self.wanted+self.reserved)
 }
 
+// allowance returns what the gate may spend over time until it writes again.
+func (p Policy) allowance(self position) Allowance {
+	burst := max(self.demand*p.BurstTime.Milliseconds()/1000, p.MinBurst)
+	return Allowance{
+		Burst: self.reserved + self.wanted + burst,
+		Rate:  max(self.demand*p.RatePercent/100, p.MinRate),
+		At:    self.now,
+	}
+}
+
 // mayCover reports whether what is left of paid may cover an amount. What other
 // gates have spent since they wrote the record is not known, so true is no proof.
 func (a *Account) mayCover(self position, paid, amount Tokens) bool {
--- a/internal/settings/gate.go
+++ b/internal/settings/gate.go
@@ -1,23 +1,20 @@
 package settings
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
+
+const maxPort = 65535
 
 // Gate describes a gate: its listeners, the platform's store, and the bounds that
 // the operators set.
 type Gate struct {
-	// Listen is the "IP:port" for callers, ReadyListen that of the readiness check,
-	// PeerListen that for other gates.
+	// Listen is the "IP:port" for callers, ReadyListen that of the readiness check.
+	// RelayPort is the port of the relays beside backend servers, 0 if there are
+	// none.
 	Listen      string `yaml:"listen"`
 	ReadyListen string `yaml:"ready_listen"`
-	PeerListen  string `yaml:"peer_listen"`
+	RelayPort   int    `yaml:"relay_port"`
 	// Store is the "IP:port" of the platform's store.
 	Store string `yaml:"store"`
-	// Seeds are "IP:port" of some gates, to find the others when the store does not
-	// answer.
-	Seeds []string `yaml:"seeds"`
 	// Regions gives the region of each failure domain.
 	Regions map[string]string `yaml:"regions"`
 	// RetryShare is the share of requests to a service that all gates together may
@@ -40,11 +37,10 @@
 	g := &s.Gate
 	c.address("gate.listen", g.Listen, true)
 	c.address("gate.ready_listen", g.ReadyListen, true)
-	c.address("gate.peer_listen", g.PeerListen, false)
-	c.address("gate.store", g.Store, true)
-	for i, seed := range g.Seeds {
-		c.address(fmt.Sprintf("gate.seeds[%d]", i), seed, true)
+	if g.RelayPort < 0 || g.RelayPort > maxPort {
+		c.fail("gate.relay_port", "must be a port, or 0 for none")
 	}
+	c.address("gate.store", g.Store, true)
 	if g.Regions[s.Domain] == "" {
 		c.fail("gate.regions", "the region of domain %q is missing", s.Domain)
 	}
@@ -59,3 +55,15 @@
 	}
 	c.positive("gate.server_return", g.ServerReturn)
 }
+
+// Relay describes a relay.
+type Relay struct {
+	// Listen is the "IP:port" for gates, Store that of the platform's store.
+	Listen string `yaml:"listen"`
+	Store  string `yaml:"store"`
+}
+
+func (c *checker) relay(s *Settings) {
+	c.address("relay.listen", s.Relay.Listen, true)
+	c.address("relay.store", s.Relay.Store, true)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -21,7 +21,8 @@
 
 // Settings are the settings of one process.
 type Settings struct {
-	// Role selects what the process does: "router", "agent" or "gate".
+	// Role selects what the process does: "router", "agent", "gate"
+	// or "relay".
 	Role wire.Role `yaml:"role"`
 	// Name is the host's name in the platform's host list.
 	Name   string `yaml:"name"`
@@ -34,6 +35,7 @@
 	Store     Store     `yaml:"store"`
 	HostList  HostList  `yaml:"host_list"`
 	Gate      Gate      `yaml:"gate"`
+	Relay     Relay     `yaml:"relay"`
 	Telemetry Telemetry `yaml:"telemetry"`
 	// DrainTimeout bounds a planned stop. After it the process goes on draining
 	// but reports that it is late.
@@ -219,8 +221,10 @@
 		c.agent(s)
 	case wire.RoleGate:
 		c.gate(s)
+	case wire.RoleRelay:
+		c.relay(s)
 	default:
-		c.fail("role", "must be router, agent or gate")
+		c.fail("role", "must be router, agent, gate or relay")
 	}
 }
 
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -40,7 +40,9 @@
 	// RoleGate is a router that reaches backend servers itself and keeps budgets in
 	// the platform's store. It has no sessions.
 	RoleGate Role = "gate"
-	RoleTool Role = "tool"
+	// RoleRelay passes gates' calls to the platform's store on. It has no sessions.
+	RoleRelay Role = "relay"
+	RoleTool  Role = "tool"
 )
 
 // Hello is the first message each way on a session.
