--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,10 +51,8 @@
 	errorLimit = 0.2
 	// latencyWeight is the weight of a new time in a server's average.
 	latencyWeight = 0.2
-	// slowFactor is how many times the service's average a server's time may be.
+	// slowFactor is how many times the usual time a server may take on average.
 	slowFactor = 2.5
-	// slowMargin is what it must be above the average besides.
-	slowMargin = 60 * time.Millisecond
 	// avoidRecheck is how long a server is avoided before its figures count as
 	// forgotten.
 	avoidRecheck = 2 * time.Second
@@ -66,6 +65,7 @@
 	// Key is a hash of the server's id.
 	Key uint64
 
+	rank    atomic.Uint64 // bits of a float64
 	running atomic.Int32
 	waiting atomic.Int32
 	group   *group
@@ -78,7 +78,7 @@
 	shedUntil  time.Time
 	gone       bool // another server has the address
 	errors     float64
-	latency    float64 // average time to the first byte, in seconds
+	slowness   float64 // average time to the first byte, against the usual one
 	avoidSince time.Time
 }
 
@@ -92,6 +92,12 @@
 // Waiting returns the number of this gate's requests without a first byte.
 func (s *Server) Waiting() int { return int(s.waiting.Load()) }
 
+// Rank returns the server's place among those of its service and domain, in 0 to 1.
+// It is the same at every gate that knows the same servers.
+func (s *Server) Rank() float64 { return math.Float64frombits(s.rank.Load()) }
+
+func (s *Server) setRank(rank float64) { s.rank.Store(math.Float64bits(rank)) }
+
 // Usable reports whether the server may get a request now. After a failure it
 // gets one request at a time until one is answered.
 func (s *Server) Usable(now time.Time) bool {
@@ -110,9 +116,8 @@
 	if now.Before(s.shedUntil) {
 		return true
 	}
-	averageErrors, averageLatency := s.group.averages()
-	slow := s.latency > averageLatency*slowFactor && s.latency > averageLatency+slowMargin.Seconds()
-	if s.errors <= averageErrors+errorLimit && !slow {
+	averageErrors := s.group.averageErrors()
+	if s.errors <= averageErrors+errorLimit && s.slowness <= slowFactor {
 		s.avoidSince = time.Time{}
 		return false
 	}
@@ -120,7 +125,7 @@
 		s.avoidSince = now
 	}
 	if now.Sub(s.avoidSince) > avoidRecheck {
-		s.errors, s.latency, s.avoidSince = averageErrors, averageLatency, time.Time{}
+		s.errors, s.slowness, s.avoidSince = averageErrors, 1, time.Time{}
 		return false
 	}
 	return true
@@ -129,20 +134,31 @@
 // Attempt is a request at a server.
 type Attempt struct {
 	server  *Server
+	class   Class
 	started time.Time
 	begun   bool
 	ended   bool
 	first   time.Duration
 }
 
+// Class tells requests apart whose usual times differ.
+type Class uint8
+
+// Classes of requests.
+const (
+	Short Class = iota
+	Long
+	classes
+)
+
 // Begin notes that a request is sent to the server. End must be called once.
-func (s *Server) Begin(now time.Time) *Attempt {
+func (s *Server) Begin(class Class, now time.Time) *Attempt {
 	s.running.Add(1)
 	s.waiting.Add(1)
 	s.mu.Lock()
 	s.trial = s.failures > 0
 	s.mu.Unlock()
-	return &Attempt{server: s, started: now}
+	return &Attempt{server: s, class: class, started: now}
 }
 
 // FirstByte notes that the server began to answer.
@@ -152,7 +168,7 @@
 	}
 	a.begun, a.first = true, now.Sub(a.started)
 	a.server.waiting.Add(-1)
-	a.server.alive(a.first)
+	a.server.alive(a.class, a.first)
 }
 
 // End notes how the request ended. Further calls do nothing.
@@ -169,12 +185,11 @@
 }
 
 // alive notes a first byte after d.
-func (s *Server) alive(d time.Duration) {
+func (s *Server) alive(class Class, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.broken, s.failures, s.trial = 0, 0, false
-	s.latency += (d.Seconds() - s.latency) * latencyWeight
-	s.group.addLatency(d.Seconds())
+	s.slowness += (s.group.slowness(class, d) - s.slowness) * latencyWeight
 }
 
 func (s *Server) note(result Result, now time.Time) {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,24 +1,30 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // groupWeight is the weight of a new result in the averages of a service.
 const groupWeight = 0.01
 
+// usualFloor keeps small differences between short times from counting.
+const usualFloor = 40 * time.Millisecond
+
 // group holds the averages of a service. It is safe for concurrent use.
 type group struct {
-	mu      sync.Mutex
-	errors  float64
-	latency float64
+	mu     sync.Mutex
+	errors float64
+	usual  [classes]time.Duration // average time to the first byte
 }
 
-func (g *group) averages() (errors, latency float64) {
+func (g *group) averageErrors() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.errors, g.latency
+	return g.errors
 }
 
 func (g *group) addError(x float64) {
@@ -27,14 +33,15 @@
 	g.errors += (x - g.errors) * groupWeight
 }
 
-func (g *group) addLatency(seconds float64) {
+// slowness returns a time to the first byte against the usual one, and counts it.
+func (g *group) slowness(class Class, d time.Duration) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.latency == 0 {
-		g.latency = seconds
-		return
+	if g.usual[class] == 0 {
+		g.usual[class] = d
 	}
-	g.latency += (seconds - g.latency) * groupWeight
+	g.usual[class] += time.Duration(float64(d-g.usual[class]) * groupWeight)
+	return d.Seconds() / max(g.usual[class], usualFloor).Seconds()
 }
 
 // Table holds the servers. Apply is called by one goroutine; the other methods are
@@ -56,6 +63,19 @@
 // not be changed.
 func (t *Table) Servers(service string) []*Server { return (*t.byService.Load())[service] }
 
+// UsualTime returns the usual time to the first byte at a service's servers, 0 if it
+// is not known.
+func (t *Table) UsualTime(service string, class Class) time.Duration {
+	servers := t.Servers(service)
+	if len(servers) == 0 {
+		return 0
+	}
+	g := servers[0].group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usual[class]
+}
+
 // All returns all servers that take new requests.
 func (t *Table) All() []*Server {
 	var all []*Server
@@ -94,10 +114,27 @@
 		}
 	}
 	t.servers = servers
+	for _, list := range byService {
+		rank(list)
+	}
 	t.byService.Store(&byService)
 	return changes
 }
 
+// rank gives the servers of a service their places in their domains.
+func rank(servers []*Server) {
+	domains := make(map[string][]*Server)
+	for _, s := range servers {
+		domains[s.Domain] = append(domains[s.Domain], s)
+	}
+	for _, list := range domains {
+		slices.SortFunc(list, func(a, b *Server) int { return cmp.Compare(a.Key, b.Key) })
+		for i, s := range list {
+			s.setRank((float64(i) + 0.5) / float64(len(list)))
+		}
+	}
+}
+
 // next returns the server of an entry and what is new about it.
 func (t *Table) next(e Entry) (*Server, string) {
 	g := t.groups[e.Service]
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -134,7 +134,7 @@
 	record := attemptRecord{Server: s.ID, Reason: reason, Waiting: s.Waiting()}
 	x.tried = append(x.tried, s.ID)
 	x.gate.stats.attempts.Inc(1)
-	a := s.Begin(started)
+	a := s.Begin(x.class(), started)
 	e := x.send(s, a)
 	now := time.Now()
 	a.End(e.result, now)
@@ -150,6 +150,14 @@
 	return e
 }
 
+// class tells requests with long prompts, whose first event comes later.
+func (x *exchange) class() fleet.Class {
+	if x.gate.opts.Policy.IsLong(&x.query) {
+		return fleet.Long
+	}
+	return fleet.Short
+}
+
 var resultNames = map[fleet.Result]string{
 	fleet.Answered: "answered", fleet.ServerError: "server-error", fleet.Shed: "shed",
 	fleet.Unreachable: "unreachable", fleet.Broken: "broken", fleet.Silent: "silent",
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -121,7 +121,7 @@
 		}
 		usable = append(usable, s)
 		candidates = append(candidates, place.Candidate{
-			Key: s.Key, Distance: g.distance(s.Domain), Waiting: s.Waiting(), Running: s.Running(), Avoid: s.Avoid(now),
+			Key: s.Key, Distance: g.distance(s.Domain), Waiting: s.Waiting(), Running: s.Running(), Rank: s.Rank(), Avoid: s.Avoid(now),
 		})
 	}
 	i, reason := g.opts.Policy.Choose(q, candidates)
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -112,7 +112,10 @@
 		return verdict.New(verdict.NotRun, verdict.CodeNoServer, "the route's service is not configured").WithRetryAfter(retryNoServer)
 	}
 	if x.route.Sticky {
-		x.query.Parts = call.Parts
+		x.query = place.Query{
+			Parts: call.Parts, MaxPause: x.route.MaxPause,
+			ReadTime: x.gate.opts.Servers.UsualTime(x.service.Name, fleet.Long),
+		}
 	}
 	x.final = x.finalTime()
 	return x.readBody()
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Part is a part of a prompt that requests can share.
@@ -33,6 +34,9 @@
 	// have not begun to answer; Running is the number of all that have not ended.
 	Waiting int
 	Running int
+	// Rank is the server's place among those of its domain, in 0 to 1, the same at
+	// every gate.
+	Rank float64
 	// Avoid marks a server that answers, but late or with errors. It is chosen
 	// only if no other can be.
 	Avoid bool
@@ -43,6 +47,10 @@
 	// Parts are the parts of the prompt in order; the last one is the request's
 	// own. Empty for a plain service.
 	Parts []Part
+	// ReadTime is how long a long prompt usually takes until its first event, and
+	// MaxPause the longest pause between events that is on time. 0 is unknown.
+	ReadTime time.Duration
+	MaxPause time.Duration
 }
 
 // SharedTokens returns the number of prompt tokens that other requests share.
@@ -54,6 +62,15 @@
 	return total
 }
 
+// promptTokens returns the number of tokens of the whole prompt.
+func (q *Query) promptTokens() int64 {
+	total := q.SharedTokens()
+	if n := len(q.Parts); n > 0 {
+		total += q.Parts[n-1].Tokens
+	}
+	return total
+}
+
 // affinityKey identifies the shared parts of the prompt.
 func (q *Query) affinityKey() uint64 {
 	key := uint64(0)
@@ -80,6 +97,13 @@
 	// with the same parts meet at one server of the whole fleet. With fewer they
 	// meet at one server of the gate's domain, which saves bytes between domains.
 	FleetWideTokens int64
+	// LongTokens is the number of prompt tokens from which a request is long.
+	// Reading a long prompt delays the tokens of all requests at its server. Where
+	// that takes more than ApartFrom of the longest pause, long requests go to one
+	// part of the servers, LongShare, and the others to the rest.
+	LongTokens int64
+	LongShare  float64
+	ApartFrom  float64
 	// MaxWaiting is the number of this gate's requests without a first token at
 	// which a server is passed over. It keeps a popular prompt from
 	// piling up at one server.
@@ -92,7 +116,18 @@
 // DefaultPolicy returns the figures for engines whose prefill of a long prompt
 // takes a tenth of a second, and short plain requests.
 func DefaultPolicy() Policy {
-	return Policy{FleetWideTokens: 1500, MaxWaiting: 3, FarPlainRunning: 6}
+	return Policy{
+		FleetWideTokens: 1500, LongTokens: 2500, LongShare: 0.7, ApartFrom: 0.65,
+		MaxWaiting: 3, FarPlainRunning: 6,
+	}
+}
+
+// IsLong reports whether a request's prompt is long.
+func (p Policy) IsLong(q *Query) bool { return q.promptTokens() >= p.LongTokens }
+
+// apart reports whether requests with long prompts and others are kept apart.
+func (p Policy) apart(q *Query) bool {
+	return q.MaxPause > 0 && float64(q.ReadTime) > p.ApartFrom*float64(q.MaxPause)
 }
 
 // Choose returns the index of the server for a request, -1 if there is no
@@ -112,12 +147,20 @@
 func (p Policy) chooseByPrompt(q Query, candidates []Candidate) (int, Reason) {
 	key := q.affinityKey()
 	fleetWide := q.SharedTokens() >= p.FleetWideTokens
+	long, apart := p.IsLong(&q), p.apart(&q)
+	strange := func(i int) bool { return apart && (candidates[i].Rank < p.LongShare) != long }
 	order := make([]int, len(candidates))
 	for i := range order {
 		order[i] = i
 	}
 	weight := func(i int) uint64 { return mix(key ^ candidates[i].Key) }
 	slices.SortFunc(order, func(a, b int) int {
+		if strangeA, strangeB := strange(a), strange(b); strangeA != strangeB {
+			if strangeB {
+				return -1
+			}
+			return 1
+		}
 		if !fleetWide {
 			if c := cmp.Compare(candidates[a].Distance, candidates[b].Distance); c != 0 {
 				return c
