--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -117,7 +117,7 @@
 // takes a tenth of a second, and short plain requests.
 func DefaultPolicy() Policy {
 	return Policy{
-		FleetWideTokens: 1500, LongTokens: 2500, LongShare: 0.7, ApartFrom: 0.65,
+		FleetWideTokens: 1500, LongTokens: 2500, LongShare: 0.7, ApartFrom: 0.8,
 		MaxWaiting: 3, FarPlainRunning: 6,
 	}
 }
--- a/internal/prepaid/account.go
+++ b/internal/prepaid/account.go
@@ -33,6 +33,8 @@
 	Limit Tokens `json:"limit"`
 	// Spent is what it had spent when it wrote the record.
 	Spent Tokens `json:"spent"`
+	// Reserved is what its requests in progress held then.
+	Reserved Tokens `json:"reserved"`
 	// Demand is what it spends, in tokens a second.
 	Demand Tokens `json:"demand"`
 	// Allowance is what the gate may spend over time after it wrote the record. It
@@ -99,7 +101,7 @@
 		return errAmounts
 	}
 	for _, s := range a.Shares {
-		if s.Spent < 0 || s.Limit < s.Spent || s.Demand < 0 || s.Holder == "" ||
+		if s.Spent < 0 || s.Limit < s.Spent || s.Reserved < 0 || s.Demand < 0 || s.Holder == "" ||
 			s.Allowance.Burst < 0 || s.Allowance.Rate < 0 {
 			return errAmounts
 		}
@@ -138,6 +140,17 @@
 	return total
 }
 
+// reservedByOthers returns what requests at other gates held when these wrote.
+func (a *Account) reservedByOthers(holder string) Tokens {
+	total := Tokens(0)
+	for _, s := range a.Shares {
+		if s.Holder != holder {
+			total += s.Reserved
+		}
+	}
+	return total
+}
+
 // demand returns the demand of all shares, in tokens a second.
 func (a *Account) demand() Tokens {
 	total := Tokens(0)
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -36,7 +36,7 @@
 	maxBackoff = 500 * time.Millisecond
 	// shortMemory is how long an account that could not cover a request is not asked
 	// again for others.
-	shortMemory = 500 * time.Millisecond
+	shortMemory = time.Second
 	// retryUnreached is the Retry-After of a request that the gate's share does not
 	// cover, though the workspace's balance may.
 	retryUnreached = 500 * time.Millisecond
@@ -291,21 +291,23 @@
 func (b *Book) due(now time.Time) []*ledger {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var urgent, others []*ledger
+	var due, stale []*ledger
 	for _, l := range b.ledgers {
 		if now.Sub(l.averaged) >= tick {
 			l.average(now)
 		}
-		if !l.due(b.opts.Clock.Now(), now) {
-			continue
-		}
-		if l.wanted > 0 {
-			urgent = append(urgent, l)
-		} else {
-			others = append(others, l)
+		switch {
+		case l.due(b.opts.Clock.Now(), now):
+			due = append(due, l)
+		case l.stale(now):
+			stale = append(stale, l)
 		}
 	}
-	batch := append(urgent, others...)
+	if len(due) == 0 {
+		return nil
+	}
+	// Accounts that would be due soon go along, so that the calls are few.
+	batch := append(due, stale...)
 	return batch[:min(len(batch), accountsPerTxn)]
 }
 
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -153,6 +153,13 @@
 	}
 }
 
+// stale reports whether the record differs from the gate's view and was not written
+// a moment ago.
+func (l *ledger) stale(now time.Time) bool {
+	return l.damaged == nil && l.known && now.Sub(l.synced) >= minSyncInterval &&
+		(l.spent != l.share.Spent || l.reserved != l.share.Reserved)
+}
+
 // dropLast removes the newest write, which certainly was not done.
 func (l *ledger) dropLast() {
 	if n := len(l.unresolved); n > 0 {
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -25,7 +25,7 @@
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 6 * time.Second, FirstShare: 48, LargestPart: 2,
+		Horizon: 6 * time.Second, FirstShare: 48, LargestPart: 3,
 		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 16000, MinRate: 2000,
 	}
 }
@@ -48,7 +48,10 @@
 	next := a
 	next.Shares = append([]Share(nil), a.Shares...)
 	next.closeBefore(self.holder, self.start)
-	next.put(Share{Holder: self.holder, Spent: self.spent, Demand: self.demand, Limit: self.spent + self.reserved})
+	next.put(Share{
+		Holder: self.holder, Spent: self.spent, Reserved: self.reserved, Demand: self.demand,
+		Limit: self.spent + self.reserved,
+	})
 	free := max(paid-next.limits(), 0)
 	window := p.window(&next, self, paid)
 	share := next.share(self.holder)
@@ -81,9 +84,16 @@
 	}
 }
 
+// restParts is the part of what was paid, as one in restParts, below which a rest
+// that nobody has free counts as used up: it lies in small pieces at several gates,
+// or with gates that ended. Callers are owed 97 in 100.
+const restParts = 33
+
 // mayCover reports whether what is left of paid may cover an amount. What other
 // gates have spent since they wrote the record is not known, so true is no proof.
 func (a *Account) mayCover(self position, paid, amount Tokens) bool {
-	known := a.spent() - a.share(self.holder).Spent + self.spent + self.reserved
-	return paid-known >= amount
+	known := a.spent() - a.share(self.holder).Spent + self.spent
+	held := known + a.reservedByOthers(self.holder) + self.reserved
+	left := paid - held
+	return left >= amount && (left > paid/restParts || a.limits() < paid)
 }
