--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -303,11 +303,16 @@
 			stale = append(stale, l)
 		}
 	}
-	if len(due) == 0 {
-		return nil
+	urgent := false
+	for _, l := range due {
+		urgent = urgent || l.wanted > 0
+	}
+	batch := due
+	if len(due) > 0 && !urgent {
+		// Accounts that would be due soon go along, so that the calls are few. With
+		// a request that waits they do not: each can make the exchange conflict.
+		batch = append(batch, stale...)
 	}
-	// Accounts that would be due soon go along, so that the calls are few.
-	batch := append(due, stale...)
 	return batch[:min(len(batch), accountsPerTxn)]
 }
 
@@ -321,7 +326,8 @@
 // exchange writes the planned accounts in one transaction. Another gate's change
 // is learned and the plan made again.
 func (b *Book) exchange(ctx context.Context, batch []*ledger, plan planner) error {
-	for range conflictTries {
+	began := time.Now()
+	for try := range conflictTries {
 		txn, proposals, err := b.propose(batch, plan)
 		if err != nil {
 			return err
@@ -334,6 +340,8 @@
 		}
 		if result.Committed {
 			b.committed(batch, proposals, result.Revision)
+			b.opts.Log.Info("shares changed", "accounts", len(batch), "conflicts", try,
+				"revision", result.Revision, "ms", time.Since(began).Milliseconds())
 			return nil
 		}
 		b.stats.conflicts.Inc(1)
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -10,6 +10,9 @@
 	// FirstShare is the part of what was paid that a gate takes before it knows its
 	// demand, as one in FirstShare.
 	FirstShare Tokens
+	// MinWindow is what a gate with any demand should be able to spend, a few
+	// requests.
+	MinWindow Tokens
 	// LargestPart bounds a share's window to one in LargestPart of what is left.
 	LargestPart Tokens
 	// BurstTime is the demand that a gate may spend at once after it wrote its
@@ -25,8 +28,8 @@
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 6 * time.Second, FirstShare: 48, LargestPart: 3,
-		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 16000, MinRate: 2000,
+		Horizon: 4500 * time.Millisecond, FirstShare: 48, MinWindow: 24000, LargestPart: 3,
+		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 12000, MinRate: 2000,
 	}
 }
 
@@ -66,14 +69,26 @@
 func (p Policy) window(a *Account, self position, paid Tokens) Tokens {
 	left := max(paid-a.spent()-(a.Closed-a.ClosedSpent), 0)
 	target := self.demand * p.Horizon.Milliseconds() / 1000
-	target = max(target, paid/p.FirstShare)
+	target = max(target, paid/p.FirstShare, p.MinWindow)
 	fair := left / p.LargestPart
 	if total := a.demand(); total > 0 {
-		fair = min(fair, left*self.demand/total)
+		fair = min(fair, max(left*self.demand/total, p.least(self, left)))
 	}
 	return max(min(target, fair), self.wanted+self.reserved)
 }
 
+// least returns the window of a gate whose part of the demand is small.
+func (p Policy) least(self position, left Tokens) Tokens {
+	if self.demand == 0 {
+		return 0
+	}
+	return min(p.MinWindow, left/leastParts)
+}
+
+// leastParts bounds the windows of gates with little demand to one in leastParts of
+// what is left each.
+const leastParts = 12
+
 // allowance returns what the gate may spend over time until it writes again.
 func (p Policy) allowance(self position) Allowance {
 	burst := max(self.demand*p.BurstTime.Milliseconds()/1000, p.MinBurst)
