--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -19,8 +19,8 @@
 const (
 	// minSyncInterval and maxSyncInterval bound how often a share is changed
 	// without a request that waits for it.
-	minSyncInterval = 400 * time.Millisecond
-	maxSyncInterval = 1500 * time.Millisecond
+	minSyncInterval = 700 * time.Millisecond
+	maxSyncInterval = 2500 * time.Millisecond
 	// tick is how often the book looks for shares to change.
 	tick = 100 * time.Millisecond
 	// accountsPerTxn is the number of accounts in one transaction. Each takes a
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -29,7 +29,7 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		Horizon: 4500 * time.Millisecond, FirstShare: 48, MinWindow: 24000, LargestPart: 3,
-		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 12000, MinRate: 2000,
+		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 24000, MinRate: 4000,
 	}
 }
 
