--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -13,7 +13,8 @@
 	// MinWindow is what a gate with any demand should be able to spend, a few
 	// requests.
 	MinWindow Tokens
-	// LargestPart bounds a share's window to one in LargestPart of what is left.
+	// LargestPart bounds a share's window to one in LargestPart of its gate's part of
+	// what is left.
 	LargestPart Tokens
 	// BurstTime is the demand that a gate may spend at once after it wrote its
 	// share, and RatePercent what it may spend over time, in percent of its demand.
@@ -28,7 +29,7 @@
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 4500 * time.Millisecond, FirstShare: 48, MinWindow: 24000, LargestPart: 3,
+		Horizon: 12 * time.Second, FirstShare: 32, MinWindow: 10000, LargestPart: 4,
 		BurstTime: 800 * time.Millisecond, RatePercent: 150, MinBurst: 24000, MinRate: 4000,
 	}
 }
@@ -65,16 +66,18 @@
 }
 
 // window returns how much more than it has spent a gate should be able to spend:
-// its demand over the horizon, at most its fair part of what is left.
+// its demand over the horizon, but only a part of what would be its own if what is
+// left were divided by demand. So shares are large while there is plenty, and little
+// is out of reach when it runs out.
 func (p Policy) window(a *Account, self position, paid Tokens) Tokens {
 	left := max(paid-a.spent()-(a.Closed-a.ClosedSpent), 0)
-	target := self.demand * p.Horizon.Milliseconds() / 1000
-	target = max(target, paid/p.FirstShare, p.MinWindow)
-	fair := left / p.LargestPart
-	if total := a.demand(); total > 0 {
-		fair = min(fair, max(left*self.demand/total, p.least(self, left)))
+	total := a.demand()
+	if total == 0 {
+		return max(min(paid/p.FirstShare, left/p.LargestPart), self.wanted+self.reserved)
 	}
-	return max(min(target, fair), self.wanted+self.reserved)
+	fair := Tokens(float64(left) * float64(self.demand) / float64(total))
+	window := min(self.demand*p.Horizon.Milliseconds()/1000, fair/p.LargestPart)
+	return max(window, p.least(self, left), self.wanted+self.reserved)
 }
 
 // least returns the window of a gate whose part of the demand is small.
