--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -28,8 +28,8 @@
 
 // Figures of a gate's start and stop.
 const (
-	// accountPrefix begins the keys of the workspaces' accounts in the store.
-	accountPrefix = "mw/account/"
+	// budgetPrefix begins the keys of accounts and statements in the store.
+	budgetPrefix = "mw/"
 	// leaveRotation is how long a gate that stops goes on accepting callers, until
 	// the platform's balancer has noticed that it is not ready.
 	leaveRotation = 2300 * time.Millisecond
@@ -80,7 +80,7 @@
 	now := clock.Now()
 	log.Info("host clock", "boot", now.Boot, "ms", now.Millis)
 	d.book = prepaid.NewBook(prepaid.Options{
-		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: accountPrefix, Clock: clock,
+		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: budgetPrefix, Clock: clock,
 		Store: st, Policy: prepaid.DefaultPolicy(), Log: log, Metrics: registry,
 	})
 	d.gate = gate.New(gate.Options{
--- a/internal/prepaid/account.go
+++ b/internal/prepaid/account.go
@@ -2,7 +2,12 @@
 // workspace has one account record in the store. A gate may spend up to the limit
 // of its share in the record; the sum of all limits never exceeds what was paid,
 // so no gate needs another one, or the store, to admit a request. Shares move only
-// by compare-and-swap. What an ended gate may have spent counts as spent.
+// by compare-and-swap.
+//
+// Besides, each gate keeps one statement in the store: what it has spent, and what
+// it will spend at most over the time that follows. When a gate ends without giving
+// back its shares, the next process of its host takes back what the one before
+// cannot have spent; the rest counts as spent.
 package prepaid
 
 import (
@@ -11,7 +16,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 )
@@ -37,33 +41,6 @@
 	Reserved Tokens `json:"reserved"`
 	// Demand is what it spends, in tokens a second.
 	Demand Tokens `json:"demand"`
-	// Allowance is what the gate may spend over time after it wrote the record. It
-	// tells what a gate that ended cannot have spent.
-	Allowance Allowance `json:"allow"`
-}
-
-// Allowance bounds what a gate spends after it wrote its share: Burst at once and
-// Rate tokens a second. The gate keeps to it, besides its limit.
-type Allowance struct {
-	Burst Tokens `json:"burst"`
-	Rate  Tokens `json:"rate"`
-	// At is when the gate wrote the share, by its host's clock.
-	At Instant `json:"at"`
-}
-
-// after returns what may be spent within d.
-func (a Allowance) after(d time.Duration) Tokens {
-	return a.Burst + Tokens(float64(a.Rate)*d.Seconds())
-}
-
-// boundAt returns what the share's gate can have spent at most when the present
-// process of its host started. Without a common clock that is the limit.
-func (s Share) boundAt(start Instant) Tokens {
-	elapsed, ok := start.Since(s.Allowance.At)
-	if !ok {
-		return s.Limit
-	}
-	return min(s.Limit, s.Spent+s.Allowance.after(elapsed))
 }
 
 // Account is the record of a workspace.
@@ -101,8 +78,7 @@
 		return errAmounts
 	}
 	for _, s := range a.Shares {
-		if s.Spent < 0 || s.Limit < s.Spent || s.Reserved < 0 || s.Demand < 0 || s.Holder == "" ||
-			s.Allowance.Burst < 0 || s.Allowance.Rate < 0 {
+		if s.Spent < 0 || s.Limit < s.Spent || s.Reserved < 0 || s.Demand < 0 || s.Holder == "" {
 			return errAmounts
 		}
 	}
@@ -171,14 +147,16 @@
 }
 
 // closeBefore ends the shares of earlier processes of a holder's host, which have
-// ended when this one started. What they can have spent counts as spent.
-func (a *Account) closeBefore(holder string, start Instant) {
+// ended when this one started. What they can have spent counts as spent; last is
+// the statement of the process before, nil if there is none.
+func (a *Account) closeBefore(holder string, start Instant, workspace string, last *Statement) {
 	a.Shares = slices.DeleteFunc(a.Shares, func(s Share) bool {
 		if s.Holder == holder || !sameHost(s.Holder, holder) {
 			return false
 		}
-		a.Closed += s.boundAt(start)
-		a.ClosedSpent += s.Spent
+		most, least := last.bounds(s, workspace, start)
+		a.Closed += most
+		a.ClosedSpent += least
 		return true
 	})
 }
@@ -189,10 +167,12 @@
 // HolderName names a gate's process.
 func HolderName(host, start string) string { return host + holderSeparator + start }
 
+// hostOf returns the host of a holder.
+func hostOf(holder string) string {
+	host, _, _ := strings.Cut(holder, holderSeparator)
+	return host
+}
+
 // sameHost reports whether two holders are processes of the same host. A process
 // starts only after the one before it on its host has ended.
-func sameHost(a, b string) bool {
-	hostA, _, _ := strings.Cut(a, holderSeparator)
-	hostB, _, _ := strings.Cut(b, holderSeparator)
-	return hostA == hostB
-}
+func sameHost(a, b string) bool { return hostOf(a) == hostOf(b) }
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -21,11 +22,15 @@
 	// without a request that waits for it.
 	minSyncInterval = 700 * time.Millisecond
 	maxSyncInterval = 2500 * time.Millisecond
+	// stateInterval is how often the statement is written while budgets are used.
+	stateInterval = 1500 * time.Millisecond
+	// drawPercent is the part of a share's window below which the share is changed.
+	drawPercent = 40
 	// tick is how often the book looks for shares to change.
 	tick = 100 * time.Millisecond
 	// accountsPerTxn is the number of accounts in one transaction. Each takes a
-	// condition and a write.
-	accountsPerTxn = 15
+	// condition and a write, and so does the statement.
+	accountsPerTxn = 14
 	// conflictTries is how often a transaction is tried again at once after another
 	// gate changed an account.
 	conflictTries = 6
@@ -46,7 +51,7 @@
 type Options struct {
 	// Holder names this process; see HolderName.
 	Holder string
-	// Prefix begins the accounts' keys in the store.
+	// Prefix begins the keys of accounts and statements in the store.
 	Prefix string
 	// Clock is the host's; see NewBootClock.
 	Clock   Clock
@@ -63,9 +68,11 @@
 	wake  chan struct{}
 	stats stats
 
-	mu      sync.Mutex
-	ledgers map[string]*ledger
-	last    string // the last workspace of the exchange before
+	mu            sync.Mutex
+	ledgers       map[string]*ledger
+	stateRevision int64     // of the host's statement
+	stated        time.Time // when the statement was written
+	unresolved    []int64   // revisions on which statements of unknown outcome depend
 }
 
 type stats struct {
@@ -79,7 +86,7 @@
 		return metrics.GetOrRegisterCounter("monsoon.prepaid."+name, o.Metrics)
 	}
 	return &Book{
-		opts: o, self: identity{o.Holder, o.Clock.Now()}, wake: make(chan struct{}, 1), ledgers: make(map[string]*ledger),
+		opts: o, self: identity{holder: o.Holder, start: o.Clock.Now()}, wake: make(chan struct{}, 1), ledgers: make(map[string]*ledger),
 		stats: stats{
 			syncs: counter("syncs"), conflicts: counter("conflicts"), lost: counter("answers_lost"),
 			unavailable: counter("store_unavailable"), waits: counter("waits"),
@@ -208,7 +215,7 @@
 	if !l.known {
 		return nil
 	}
-	if !l.account.mayCover(l.position(self, now), l.paid, bound) {
+	if !l.account.mayCover(l.position(self), l.paid, bound) {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", l.describe(now))
 	}
 	if l.synced.After(began) {
@@ -262,8 +269,8 @@
 		case <-ticker.C:
 		case <-b.wake:
 		}
-		batch := b.due(time.Now())
-		if len(batch) == 0 {
+		batch, state := b.due(time.Now())
+		if len(batch) == 0 && !state {
 			continue
 		}
 		if err := b.exchange(ctx, batch, b.planShares); err != nil {
@@ -287,65 +294,55 @@
 	}
 }
 
-// due returns the ledgers whose shares should be changed now.
-func (b *Book) due(now time.Time) []*ledger {
+// due returns the ledgers whose shares should be changed now, and whether the
+// statement should be written in any case.
+func (b *Book) due(now time.Time) (batch []*ledger, state bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var due, stale []*ledger
+	instant := b.opts.Clock.Now()
+	age := now.Sub(b.stated)
 	for _, l := range b.ledgers {
 		if now.Sub(l.averaged) >= tick {
 			l.average(now)
 		}
-		switch {
-		case l.due(b.opts.Clock.Now(), now):
-			due = append(due, l)
-		case l.stale(now):
-			stale = append(stale, l)
+		if l.drawDue(now) && len(batch) < accountsPerTxn {
+			batch = append(batch, l)
 		}
+		state = state || l.stateDue(instant) || age >= stateInterval && l.spent != l.lastRow().Spent
 	}
-	urgent := false
-	for _, l := range due {
-		urgent = urgent || l.wanted > 0
-	}
-	batch := due
-	if len(due) > 0 && !urgent {
-		// Accounts that would be due soon go along, so that the calls are few. With
-		// a request that waits they do not: each can make the exchange conflict.
-		batch = append(batch, stale...)
-	}
-	return batch[:min(len(batch), accountsPerTxn)]
+	return batch, state || len(b.unresolved) > 0
 }
 
 // planner returns the account that a ledger should write.
 type planner func(l *ledger) Account
 
 func (b *Book) planShares(l *ledger) Account {
-	return b.opts.Policy.plan(l.account, l.position(b.self, b.opts.Clock.Now()), l.paid)
+	return b.opts.Policy.plan(l.account, l.position(b.self), l.paid)
 }
 
-// exchange writes the planned accounts in one transaction. Another gate's change
-// is learned and the plan made again.
+// exchange writes the statement and the planned accounts in one transaction.
+// Another gate's change of an account is learned and the plan made again.
 func (b *Book) exchange(ctx context.Context, batch []*ledger, plan planner) error {
 	began := time.Now()
 	for try := range conflictTries {
-		txn, proposals, err := b.propose(batch, plan)
+		p, err := b.propose(batch, plan)
 		if err != nil {
 			return err
 		}
 		b.stats.syncs.Inc(1)
-		result, err := b.opts.Store.Commit(ctx, txn)
+		result, err := b.opts.Store.Commit(ctx, p.txn)
 		if err != nil {
-			b.failed(batch, err)
+			b.failed(p, err)
 			return err
 		}
 		if result.Committed {
-			b.committed(batch, proposals, result.Revision)
+			b.committed(p, result.Revision)
 			b.opts.Log.Info("shares changed", "accounts", len(batch), "conflicts", try,
 				"revision", result.Revision, "ms", time.Since(began).Milliseconds())
 			return nil
 		}
 		b.stats.conflicts.Inc(1)
-		if err := b.learn(batch, result.Current); err != nil {
+		if err := b.learn(p, result.Current); err != nil {
 			return err
 		}
 	}
@@ -354,68 +351,133 @@
 
 var errConflicts = errors.New("accounts keep changing")
 
-// propose plans the accounts. From here until the outcome is known, only what both
-// the old and the new limits allow can be spent.
-func (b *Book) propose(batch []*ledger, plan planner) (store.Txn, []Account, error) {
+// proposal is a transaction and what it would make true.
+type proposal struct {
+	txn       store.Txn
+	batch     []*ledger
+	accounts  []Account
+	statement Statement
+}
+
+// propose plans the accounts and the statement. From here until the outcome is
+// known, only what both the old and the new ones allow can be spent.
+func (b *Book) propose(batch []*ledger, plan planner) (proposal, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var txn store.Txn
-	proposals := make([]Account, len(batch))
-	for i, l := range batch {
-		proposals[i] = plan(l)
-		raw, err := proposals[i].Encode()
-		if err != nil {
-			return txn, nil, err
+	p := proposal{batch: batch, statement: b.statement(batch)}
+	raw, err := json.Marshal(&p.statement)
+	if err != nil {
+		return p, err
+	}
+	p.add(b.statementKey(), b.stateRevision, raw)
+	for _, l := range batch {
+		account := plan(l)
+		if raw, err = account.Encode(); err != nil {
+			return p, err
 		}
-		key := b.key(l)
-		txn.Compare = append(txn.Compare, store.Compare{Key: key, ModRevision: l.revision})
-		txn.Write = append(txn.Write, store.Write{Key: key, Value: raw})
+		p.accounts = append(p.accounts, account)
+		p.add(b.key(l), l.revision, raw)
 	}
 	for i, l := range batch {
-		l.unresolved = append(l.unresolved, attempt{share: proposals[i].share(b.opts.Holder), base: l.revision})
+		l.unresolved = append(l.unresolved, attempt{share: p.accounts[i].share(b.opts.Holder), base: l.revision})
+	}
+	for _, l := range b.ledgers {
+		l.promises = append(l.promises, p.statement.promise(l.workspace))
 	}
-	return txn, proposals, nil
+	return p, nil
 }
 
-func (b *Book) key(l *ledger) string { return b.opts.Prefix + l.workspace }
+func (p *proposal) add(key string, revision int64, value []byte) {
+	p.txn.Compare = append(p.txn.Compare, store.Compare{Key: key, ModRevision: revision})
+	p.txn.Write = append(p.txn.Write, store.Write{Key: key, Value: value})
+}
 
-// committed takes over the accounts that were written.
-func (b *Book) committed(batch []*ledger, proposals []Account, revision int64) {
+// statement returns the gate's present statement: about the budgets of which it has
+// a share, and those of batch.
+func (b *Book) statement(batch []*ledger) Statement {
+	s := Statement{Version: recordVersion, Holder: b.opts.Holder, At: b.opts.Clock.Now(), Rows: make(map[string]Row)}
+	for _, l := range b.ledgers {
+		if l.share.Limit > 0 || slices.Contains(batch, l) {
+			s.Rows[l.workspace] = b.opts.Policy.row(l.position(b.self))
+		}
+	}
+	return s
+}
+
+// promise returns what the statement promises about a workspace.
+func (s *Statement) promise(workspace string) promise {
+	row, ok := s.Rows[workspace]
+	return promise{row: row, at: s.At, none: !ok}
+}
+
+func (b *Book) key(l *ledger) string { return b.opts.Prefix + "account/" + l.workspace }
+
+// statementKey is the key of the statements of this host's processes.
+func (b *Book) statementKey() string { return b.opts.Prefix + "gate/" + hostOf(b.opts.Holder) }
+
+// committed takes over what was written.
+func (b *Book) committed(p proposal, revision int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	for i, l := range batch {
+	for i, l := range p.batch {
 		l.synced = now
-		l.learn(proposals[i], revision, b.opts.Holder)
+		l.learn(p.accounts[i], revision, b.opts.Holder)
+	}
+	b.settleStatement(&p.statement, revision)
+	b.stated = now
+}
+
+// settleStatement notes which statement is in the store. Earlier ones can never be
+// written any more.
+func (b *Book) settleStatement(s *Statement, revision int64) {
+	b.stateRevision, b.unresolved = revision, b.unresolved[:0]
+	for _, l := range b.ledgers {
+		l.promises = append(l.promises[:0], s.promise(l.workspace))
 	}
 }
 
 // failed notes a transaction that the store did not decide. One that certainly was
 // not done leaves nothing unresolved.
-func (b *Book) failed(batch []*ledger, err error) {
+func (b *Book) failed(p proposal, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrTooLarge) {
 		b.stats.lost.Inc(1)
+		b.unresolved = append(b.unresolved, b.stateRevision)
 		return
 	}
 	b.stats.unavailable.Inc(1)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, l := range batch {
+	b.drop(p)
+}
+
+// drop forgets a transaction that certainly was not done.
+func (b *Book) drop(p proposal) {
+	for _, l := range p.batch {
 		l.dropLast()
 	}
+	for _, l := range b.ledgers {
+		if n := len(l.promises); n > 0 && l.promises[n-1].at == p.statement.At {
+			l.promises = l.promises[:n-1]
+		}
+	}
 }
 
-// learn takes over the accounts that a failed condition showed. An account that is
+// learn takes over the records that a failed condition showed. A record that is
 // not among them does not exist.
-func (b *Book) learn(batch []*ledger, current []store.Entry) error {
+func (b *Book) learn(p proposal, current []store.Entry) error {
 	found := make(map[string]store.Entry, len(current))
 	for _, e := range current {
 		found[e.Key] = e
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.drop(p) // the transaction that showed this was not done
+	if err := b.learnStatement(found[b.statementKey()]); err != nil {
+		return err
+	}
 	var damaged error
-	for _, l := range batch {
+	for _, l := range p.batch {
 		e := found[b.key(l)]
 		account, err := DecodeAccount(e.Value)
 		if err != nil {
@@ -423,12 +485,33 @@
 			damaged = fmt.Errorf("account %s: %w", l.workspace, err)
 			continue
 		}
-		l.dropLast() // the transaction that showed this was not done
 		l.learn(account, e.ModRevision, b.opts.Holder)
 	}
 	return damaged
 }
 
+// learnStatement takes over the host's statement as it is in the store: one of the
+// process before, or one of this process whose answer was lost.
+func (b *Book) learnStatement(e store.Entry) error {
+	if e.ModRevision == b.stateRevision {
+		return nil
+	}
+	s, err := DecodeStatement(e.Value)
+	if err != nil {
+		// The next statement replaces it. What the process before left counts as
+		// spent.
+		b.opts.Log.Error("statement not readable", "key", e.Key, "error", err)
+		b.stateRevision = e.ModRevision
+		return nil
+	}
+	if s.Holder == b.opts.Holder {
+		b.settleStatement(s, e.ModRevision)
+		return nil
+	}
+	b.self.last, b.stateRevision = s, e.ModRevision
+	return nil
+}
+
 // Close gives back what is not spent. It is called after the last request.
 func (b *Book) Close(ctx context.Context) error {
 	var errs []error
@@ -459,7 +542,7 @@
 func (b *Book) planEnd(l *ledger) Account {
 	next := l.account
 	next.Shares = append([]Share(nil), l.account.Shares...)
-	next.closeBefore(b.self.holder, b.self.start)
+	next.closeBefore(b.self.holder, b.self.start, l.workspace, b.self.last)
 	used := l.spent + l.reserved
 	next.Closed += used
 	next.ClosedSpent += used
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -23,6 +23,9 @@
 type identity struct {
 	holder string
 	start  Instant
+	// last is the statement of the process before on the same host, nil if there is
+	// none.
+	last *Statement
 }
 
 // ledger is a gate's part of one workspace's account. It is used under the mutex
@@ -38,6 +41,7 @@
 
 	share      Share // as it is in the account
 	unresolved []attempt
+	promises   []promise // rows that may be in the store, the newest last
 	spent      Tokens
 	reserved   Tokens
 	wanted     Tokens // the sum of the bounds that wait
@@ -58,9 +62,11 @@
 // usable returns what the gate may have spent in all by now, whatever became of
 // writes whose answers were lost.
 func (l *ledger) usable(now Instant) Tokens {
-	usable := l.share.boundAt(now)
-	for _, a := range l.unresolved {
-		usable = min(usable, a.share.boundAt(now))
+	usable := l.limit()
+	for _, p := range l.promises {
+		if most, ok := p.mostAt(now); ok {
+			usable = min(usable, most)
+		}
 	}
 	return usable
 }
@@ -117,9 +123,10 @@
 func (l *ledger) demand() float64 { return max(l.fast, l.slow) }
 
 // position returns the gate's view for the plan.
-func (l *ledger) position(self identity, now Instant) position {
+func (l *ledger) position(self identity) position {
 	return position{
-		holder: self.holder, start: self.start, now: now, spent: l.spent, reserved: l.reserved,
+		holder: self.holder, workspace: l.workspace, start: self.start, last: self.last,
+		spent: l.spent, reserved: l.reserved,
 		demand: Tokens(l.demand()), wanted: l.wanted,
 	}
 }
@@ -146,37 +153,42 @@
 	l.changed = make(chan struct{})
 }
 
-// due reports whether the share should be written now.
-func (l *ledger) due(instant Instant, now time.Time) bool {
+// drawDue reports whether the share should be changed now.
+func (l *ledger) drawDue(now time.Time) bool {
 	if l.damaged != nil {
 		return false
 	}
-	if !l.known || l.wanted > 0 || len(l.unresolved) > 0 {
+	if !l.known || len(l.unresolved) > 0 || l.wanted > 0 && l.limit()-l.spent-l.reserved < l.wanted {
 		return true
 	}
-	age := now.Sub(l.synced)
-	switch {
-	case age < minSyncInterval:
+	if now.Sub(l.synced) < minSyncInterval {
 		return false
-	case l.spent == l.share.Spent && l.reserved == 0:
+	}
+	if l.spent == l.share.Spent && l.reserved == 0 {
 		// An idle gate gives back what it holds.
-		return age >= maxSyncInterval && l.share.Limit > l.spent && l.demand() < 1
-	case age >= maxSyncInterval:
-		return true
-	default:
-		return l.limit()-l.spent-l.reserved < (l.share.Limit-l.share.Spent)/2 ||
-			l.available(instant) < l.share.Allowance.Burst/4
+		return now.Sub(l.synced) >= maxSyncInterval && l.share.Limit > l.spent && l.demand() < 1
 	}
+	return l.limit()-l.spent-l.reserved < (l.share.Limit-l.share.Spent)*drawPercent/100
 }
 
-// stale reports whether the record differs from the gate's view and was not written
-// a moment ago.
-func (l *ledger) stale(now time.Time) bool {
-	return l.damaged == nil && l.known && now.Sub(l.synced) >= minSyncInterval &&
-		(l.spent != l.share.Spent || l.reserved != l.share.Reserved)
+// stateDue reports whether the statement keeps requests from what the share allows.
+func (l *ledger) stateDue(instant Instant) bool {
+	if l.damaged != nil || !l.known || l.limit() == 0 {
+		return false
+	}
+	held := l.limit() - l.usable(instant)
+	return held > 0 && (l.wanted > 0 || l.available(instant) < l.lastRow().Burst/4)
+}
+
+// lastRow returns the row of the newest statement.
+func (l *ledger) lastRow() Row {
+	if n := len(l.promises); n > 0 {
+		return l.promises[n-1].row
+	}
+	return Row{}
 }
 
-// dropLast removes the newest write, which certainly was not done.
+// dropLast removes the newest write of the account, which certainly was not done.
 func (l *ledger) dropLast() {
 	if n := len(l.unresolved); n > 0 {
 		l.unresolved = l.unresolved[:n-1]
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -17,7 +17,7 @@
 	// what is left.
 	LargestPart Tokens
 	// BurstTime is the demand that a gate may spend at once after it wrote its
-	// share, and RatePercent what it may spend over time, in percent of its demand.
+	// statement, and RatePercent what it may spend over time, in percent of its demand.
 	BurstTime   time.Duration
 	RatePercent Tokens
 	// MinBurst and MinRate let a gate with little demand serve a large request.
@@ -36,9 +36,11 @@
 
 // position is a gate's own view of its share.
 type position struct {
-	holder string
-	// start is when the gate's process started, now when the plan is made.
-	start, now Instant
+	holder, workspace string
+	// start is when the gate's process started, and last the statement of the
+	// process before it on the same host.
+	start Instant
+	last  *Statement
 	// spent is settled, reserved is held by requests in progress.
 	spent, reserved Tokens
 	demand          Tokens
@@ -51,7 +53,7 @@
 func (p Policy) plan(a Account, self position, paid Tokens) Account {
 	next := a
 	next.Shares = append([]Share(nil), a.Shares...)
-	next.closeBefore(self.holder, self.start)
+	next.closeBefore(self.holder, self.start, self.workspace, self.last)
 	next.put(Share{
 		Holder: self.holder, Spent: self.spent, Reserved: self.reserved, Demand: self.demand,
 		Limit: self.spent + self.reserved,
@@ -60,7 +62,6 @@
 	window := p.window(&next, self, paid)
 	share := next.share(self.holder)
 	share.Limit += min(max(window-self.reserved, 0), free)
-	share.Allowance = p.allowance(self)
 	next.put(share)
 	return next
 }
@@ -92,13 +93,13 @@
 // what is left each.
 const leastParts = 12
 
-// allowance returns what the gate may spend over time until it writes again.
-func (p Policy) allowance(self position) Allowance {
+// row returns what the gate states: what it may spend over time until it writes
+// again.
+func (p Policy) row(self position) Row {
 	burst := max(self.demand*p.BurstTime.Milliseconds()/1000, p.MinBurst)
-	return Allowance{
-		Burst: self.reserved + self.wanted + burst,
-		Rate:  max(self.demand*p.RatePercent/100, p.MinRate),
-		At:    self.now,
+	return Row{
+		Spent: self.spent, Burst: self.reserved + self.wanted + burst,
+		Rate: max(self.demand*p.RatePercent/100, p.MinRate),
 	}
 }
 
--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -296,7 +296,7 @@
 			h.start(t, w.paidMap())
 		}
 		time.Sleep(time.Second)
-		raw, err := w.hosts[0].store.Get(t.Context(), "a/ws")
+		raw, err := w.hosts[0].store.Get(t.Context(), "a/account/ws")
 		c.Assert(err, qt.IsNil)
 		account, err := DecodeAccount(raw.Value)
 		c.Assert(err, qt.IsNil)
