--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/monsoonworks/monsoonworks/internal/crowd"
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
 	"github.com/monsoonworks/monsoonworks/internal/follow"
 	"github.com/monsoonworks/monsoonworks/internal/gate"
@@ -55,6 +56,7 @@
 	servers  *fleet.Table
 	book     *prepaid.Book
 	pool     *upstream.Pool
+	crowd    *crowd.Meter
 	gate     *gate.Gate
 	front    *gate.Front
 	ready    net.Listener
@@ -68,7 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Gate{s: s, log: log, registry: registry, servers: fleet.NewTable(), pool: upstream.NewPool(nil, registry)}
+	d := &Gate{s: s, log: log, registry: registry, servers: fleet.NewTable(), crowd: crowd.NewMeter(s.Gate.LinkMbps)}
+	d.pool = upstream.NewPool(&crowd.Dialer{Dialer: net.Dialer{KeepAlive: -1}, Meter: d.crowd}, registry)
 	st := relay.NewStore(relay.Options{
 		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
 		Relays: d.relays, Log: log, Metrics: registry,
@@ -89,7 +92,7 @@
 		RetryPercent:  int(s.Gate.RetryShare * retryShareUsed * 100),
 		RetryFloor:    int(s.Gate.RetrySlack / retrySlackParts),
 		MaxBodyMemory: int64(s.Gate.MemoryMB) << 20 / bodyMemoryPart,
-		Log:           log, Metrics: registry,
+		Crowd:         d.crowd, Log: log, Metrics: registry,
 	})
 	d.config = follow.New(follow.Options{Prefix: platform.ConfigPrefix, Store: st, Changed: d.applyConfig, Log: log})
 	d.entries = follow.New(follow.Options{
@@ -104,7 +107,7 @@
 	if err != nil {
 		return fmt.Errorf("callers: %w", err)
 	}
-	d.front = gate.NewFront(d.gate, callers, d.log)
+	d.front = gate.NewFront(d.gate, callers, d.crowd.Count, d.log)
 	d.ready, err = net.Listen("tcp", d.s.Gate.ReadyListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("readiness: %w", err), callers.Close())
@@ -185,6 +188,7 @@
 	group.Go(func() error { return d.entries.Run(ctx) })
 	group.Go(func() error { return d.book.Run(ctx) })
 	group.Go(func() error { return d.prune(ctx) })
+	group.Go(func() error { return d.crowd.Run(ctx, d.logCrowd) })
 	group.Go(func() error {
 		stop := func() { _ = d.front.StopAccepting() } // closed already after a drain
 		return runUntil(ctx, d.front.Run, stop)
@@ -197,6 +201,10 @@
 	return group.Wait()
 }
 
+func (d *Gate) logCrowd(crowded bool, usage float64, late time.Duration) {
+	d.log.Info("crowd changed", "crowded", crowded, "link_usage", usage, "late_ms", late.Milliseconds())
+}
+
 func (d *Gate) prune(ctx context.Context) error {
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
@@ -211,9 +219,9 @@
 }
 
 // Ready reports whether the gate can serve callers: it has a configuration, knows
-// servers and has read the accounts.
+// servers, has read the accounts and is not crowded.
 func (d *Gate) Ready() bool {
-	return d.gate.Catalog() != nil && d.entries.Known() && d.book.Ready() && !d.gate.Draining()
+	return d.gate.Catalog() != nil && d.entries.Known() && d.book.Ready() && !d.gate.Draining() && !d.crowd.Crowded()
 }
 
 func (d *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,6 +17,9 @@
 	// minPause and maxPause bound the pause before the store is tried again.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
+	// gather is the pause after changes, so that those that follow closely come in
+	// one answer: the store counts every call.
+	gather = 200 * time.Millisecond
 )
 
 // State is a copy of the keys under a prefix.
@@ -172,6 +175,9 @@
 			}
 			f.answered()
 			f.apply(batch)
+			if len(batch.Events) > 0 && !sleep(ctx, gather) {
+				return ctx.Err()
+			}
 		case <-ticks.C:
 			f.releaseHeld(time.Now())
 		}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -28,6 +28,9 @@
 	Reserve(ctx context.Context, workspace string, bound prepaid.Tokens) (*prepaid.Reservation, error)
 }
 
+// Crowd tells when a host can take no more callers; crowd.Meter implements it.
+type Crowd interface{ Crowded() bool }
+
 // Options configure a Gate.
 type Options struct {
 	// Domain and Region are where the gate is; Regions gives the region of each
@@ -47,8 +50,10 @@
 	RetryFloor   int
 	// MaxBodyMemory bounds the memory of callers' bodies, in bytes.
 	MaxBodyMemory int64
-	Log           *slog.Logger
-	Metrics       metrics.Registry
+	// Crowd tells when the gate can take no more callers.
+	Crowd   Crowd
+	Log     *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Gate serves callers. It is safe for concurrent use. Its mutex is a leaf.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -61,7 +61,8 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	g.stats.requests.Inc(1)
-	if g.draining.Load() {
+	if g.draining.Load() || g.opts.Crowd.Crowded() {
+		// The caller goes on at another gate.
 		w.Header().Set("Connection", "close")
 	}
 	x := &exchange{gate: g, w: w, r: r, started: time.Now()}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -27,6 +27,7 @@
 // force. It is safe for concurrent use. Its mutex is a leaf.
 type Front struct {
 	gate     *Gate
+	count    func(net.Conn) net.Conn
 	log      *slog.Logger
 	listener net.Listener
 
@@ -36,9 +37,10 @@
 	servers []*http.Server
 }
 
-// NewFront returns a front that accepts on listener.
-func NewFront(g *Gate, listener net.Listener, log *slog.Logger) *Front {
-	f := &Front{gate: g, log: log, listener: listener}
+// NewFront returns a front that accepts on listener. count is applied to each
+// connection.
+func NewFront(g *Gate, listener net.Listener, count func(net.Conn) net.Conn, log *slog.Logger) *Front {
+	f := &Front{gate: g, count: count, log: log, listener: listener}
 	f.SetLimits(defaultLimits)
 	return f
 }
@@ -96,17 +98,26 @@
 			}
 			return err
 		}
+		f.hand(f.count(conn))
+	}
+}
+
+// hand passes a connection to the present server. Limits may change meanwhile.
+func (f *Front) hand(conn net.Conn) {
+	for {
 		f.mu.Lock()
 		current := f.current
 		f.mu.Unlock()
-		if !current.give(conn) {
-			f.mu.Lock()
-			current = f.current
-			f.mu.Unlock()
-			if !current.give(conn) {
-				// Only a front that is shutting down takes no connection.
-				_ = conn.Close()
-			}
+		if current.give(conn) {
+			return
+		}
+		f.mu.Lock()
+		same := f.current == current
+		f.mu.Unlock()
+		if same {
+			// Only a front that is shutting down takes no connection.
+			_ = conn.Close()
+			return
 		}
 	}
 }
--- a/internal/settings/gate.go
+++ b/internal/settings/gate.go
@@ -24,6 +24,9 @@
 	RetrySlack float64 `yaml:"retry_slack"`
 	// MemoryMB bounds the process's memory, in megabytes.
 	MemoryMB int `yaml:"memory_mb"`
+	// LinkMbps is the rate of the host's link each way, in megabits per second, 0 if
+	// it never is the limit.
+	LinkMbps float64 `yaml:"link_mbps"`
 	// ServerReturn is how long the entry of a server that lapsed in an outage of the
 	// store is awaited after the outage.
 	ServerReturn Duration `yaml:"server_return"`
@@ -53,6 +56,9 @@
 	if g.MemoryMB <= 0 {
 		c.fail("gate.memory_mb", "must be above 0")
 	}
+	if g.LinkMbps < 0 {
+		c.fail("gate.link_mbps", "must not be negative")
+	}
 	c.positive("gate.server_return", g.ServerReturn)
 }
 
