--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
@@ -35,6 +36,8 @@
 	delivered int
 }
 
+var errGap = errors.New("the second server goes on at another event")
+
 var errEventTooLarge = errors.New("an event is too large")
 
 // relayStream forwards events as they arrive. Only whole events are forwarded, so
@@ -42,6 +45,7 @@
 func (x *exchange) relayStream(conn *upstream.Conn, response *http.Response, answer Answer) end {
 	control := http.NewResponseController(x.w)
 	buffer := make([]byte, 0, streamBufferBytes)
+	joining := x.stream.begun
 	for {
 		if err := conn.AwaitUntil(x.stallTime()); err != nil {
 			conn.Discard()
@@ -50,7 +54,16 @@
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if whole := wholeEvents(buffer); whole > 0 {
-			if werr := x.deliver(control, response, buffer[:whole]); werr != nil {
+			events := buffer[:whole]
+			if joining {
+				var joined bool
+				if events, joined = join(events, x.stream.lastEvent); !joined {
+					conn.Discard()
+					return x.streamLost(errGap)
+				}
+				joining = len(events) == 0
+			}
+			if werr := x.deliver(control, response, events); werr != nil {
 				conn.Discard()
 				return end{done: true, broken: true, result: fleet.Abandoned, verdict: verdict.Ran, code: verdict.CodeCanceled, err: werr}
 			}
@@ -92,12 +105,48 @@
 	return x.final
 }
 
+// join removes the events that the caller has from those of a second server. It
+// fails if the first one left is not the next one. Ids that are no numbers say
+// nothing about the order.
+func join(events []byte, last string) (rest []byte, joined bool) {
+	had, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return events, true
+	}
+	for len(events) > 0 {
+		n := firstEvent(events)
+		_, id := scanEvents(events[:n])
+		number, err := strconv.ParseInt(id, 10, 64)
+		if err != nil || number == had+1 {
+			return events, true
+		}
+		if number > had {
+			return nil, false
+		}
+		events = events[n:]
+	}
+	return nil, true
+}
+
+// firstEvent returns the length of the first of some whole events.
+func firstEvent(events []byte) int {
+	for n := 1; n < len(events); n++ {
+		if wholeEvents(events[:n]) == n {
+			return n
+		}
+	}
+	return len(events)
+}
+
 // deliver forwards whole events to the caller.
 func (x *exchange) deliver(control *http.ResponseController, response *http.Response, events []byte) error {
 	if !x.stream.begun {
 		x.stream.begun = true
 		x.begin(control, response)
 	}
+	if len(events) == 0 {
+		return nil
+	}
 	count, last := scanEvents(events)
 	if _, err := x.w.Write(events); err != nil {
 		return err
