--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,148 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/devel/standin/faultstore"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+)
+
+// pollingStore is a store whose watches end when it is down, as those over HTTP do.
+type pollingStore struct {
+	*faultstore.Store
+	mem *memstore.Store
+}
+
+func (s *pollingStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
+	return store.WatchByPolling(ctx, from, func(ctx context.Context, revision int64) store.WatchBatch {
+		if err := s.Controls.Enter(ctx, faultstore.Watch); err != nil {
+			return store.WatchBatch{Err: err}
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		batches, err := s.mem.Watch(ctx, prefix, revision)
+		if err != nil {
+			return store.WatchBatch{Err: err}
+		}
+		batch := <-batches
+		if s.Controls.Down() {
+			return store.WatchBatch{Err: store.ErrUnavailable}
+		}
+		batch.Revision = max(batch.Revision, revision)
+		return batch
+	}), nil
+}
+
+// follower runs a follower over an in-memory store and records its states.
+type follower struct {
+	*Follower
+	mem   *memstore.Store
+	store *pollingStore
+
+	mu        sync.Mutex
+	revisions []int64
+}
+
+func start(t *testing.T, hold time.Duration) *follower {
+	mem := memstore.New(memstore.Options{ProgressInterval: 500 * time.Millisecond})
+	f := &follower{mem: mem, store: &pollingStore{Store: faultstore.New(mem), mem: mem}}
+	f.Follower = New(Options{
+		Prefix: "p/", Store: f.store, HoldDeletions: hold, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Changed: func(s State) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.revisions = append(f.revisions, s.Revision)
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); time.Sleep(5 * time.Second) })
+	return f
+}
+
+func (f *follower) put(c *qt.C, key, value string) {
+	_, err := f.mem.Commit(c.Context(), store.Txn{Write: []store.Write{{Key: key, Value: []byte(value)}}})
+	c.Assert(err, qt.IsNil)
+}
+
+func (f *follower) remove(c *qt.C, key string) {
+	_, err := f.mem.Commit(c.Context(), store.Txn{Write: []store.Write{{Key: key, Delete: true}}})
+	c.Assert(err, qt.IsNil)
+}
+
+func (f *follower) has(key string) bool {
+	_, ok := f.State().Entries[key]
+	return ok
+}
+
+// Guards against changes that are missed, late, or undone by an older state.
+func TestChangesArrive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := start(t, 0)
+		for i := range 30 {
+			f.put(c, "p/a", fmt.Sprint(i))
+			f.put(c, "other", "x")
+			if i%10 == 9 {
+				f.mem.Compact(f.mem.Revision())
+			}
+			time.Sleep(130 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		c.Assert(string(f.State().Entries["p/a"].Value), qt.Equals, "29")
+		c.Assert(f.State().Entries, qt.HasLen, 1)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for i := 1; i < len(f.revisions); i++ {
+			c.Assert(f.revisions[i] >= f.revisions[i-1], qt.IsTrue)
+		}
+	})
+}
+
+// Guards against a server that is dropped because its entry lapsed in an outage of
+// the store, although it comes back; one that does not come back is gone.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := start(t, 2200*time.Millisecond)
+		f.put(c, "p/back", "1")
+		f.put(c, "p/gone", "1")
+		time.Sleep(3 * time.Second)
+		f.store.Controls.SetDown(true)
+		f.remove(c, "p/back")
+		f.remove(c, "p/gone")
+		time.Sleep(4 * time.Second)
+		c.Assert(f.InContact(), qt.IsFalse)
+		f.store.Controls.SetDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		c.Assert(f.has("p/back") && f.has("p/gone"), qt.IsTrue)
+		f.put(c, "p/back", "2")
+		time.Sleep(4 * time.Second)
+		c.Assert(f.has("p/back"), qt.IsTrue)
+		c.Assert(f.has("p/gone"), qt.IsFalse)
+	})
+}
+
+// Guards against a server that stays after its entry was removed while the store
+// answers.
+func TestRemovedEntryIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := start(t, 2200*time.Millisecond)
+		f.put(c, "p/a", "1")
+		time.Sleep(5 * time.Second)
+		f.remove(c, "p/a")
+		time.Sleep(300 * time.Millisecond)
+		c.Assert(f.has("p/a"), qt.IsFalse)
+	})
+}
