--- a/cmd/monsoond/main.go
+++ b/cmd/monsoond/main.go
@@ -49,7 +49,8 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	s, err := settings.Load(cmd.String("settings"))
+	path := cmd.String("settings")
+	s, err := settings.Load(path)
 	if err != nil {
 		return cli.Exit(err.Error(), exitSettings)
 	}
@@ -66,7 +67,9 @@
 		With("host", s.Name)
 	log.Info("process started", "role", s.Role, "region", s.Region, "domain", s.Domain)
 	return runLogged(ctx, sink, func(ctx context.Context) error {
-		err := daemon.Run(ctx, s, registry, log, stopRequests())
+		err := daemon.Run(ctx, path, s, registry, log, daemon.Signals{
+			Stops: requests(syscall.SIGTERM, syscall.SIGINT), Reloads: requests(syscall.SIGHUP),
+		})
 		log.Info("process ended", "error", err)
 		return err
 	})
@@ -82,15 +85,15 @@
 	return errors.Join(err, <-written)
 }
 
-// stopRequests delivers a value for each TERM or INT signal.
-func stopRequests() <-chan struct{} {
+// requests delivers a value for each of some signals.
+func requests(kinds ...os.Signal) <-chan struct{} {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	stops := make(chan struct{})
+	signal.Notify(signals, kinds...)
+	values := make(chan struct{})
 	go func() {
 		for range signals {
-			stops <- struct{}{}
+			values <- struct{}{}
 		}
 	}()
-	return stops
+	return values
 }
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,7 +52,10 @@
 
 // Gate is a gate process.
 type Gate struct {
-	s        settings.Settings
+	s settings.Settings
+	// changeable holds the settings after a reload.
+	changeable atomic.Pointer[settings.Settings]
+
 	log      *slog.Logger
 	registry metrics.Registry
 	servers  *fleet.Table
@@ -71,6 +76,7 @@
 		return nil, err
 	}
 	d := &Gate{s: s, log: log, registry: registry, servers: fleet.NewTable(), crowd: crowd.NewMeter(s.Gate.LinkMbps)}
+	d.changeable.Store(&s)
 	d.pool = upstream.NewPool(&crowd.Dialer{Dialer: net.Dialer{KeepAlive: -1}, Meter: d.crowd}, registry)
 	st := relay.NewStore(relay.Options{
 		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
@@ -86,11 +92,11 @@
 		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: budgetPrefix, Clock: clock,
 		Store: st, Policy: prepaid.DefaultPolicy(), Log: log, Metrics: registry,
 	})
+	percent, floor := retryBounds(s.Gate)
 	d.gate = gate.New(gate.Options{
 		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
 		Servers: d.servers, Budgets: d.book, Pool: d.pool, Protocol: platform.Protocol{}, Policy: place.DefaultPolicy(),
-		RetryPercent:  int(s.Gate.RetryShare * retryShareUsed * 100),
-		RetryFloor:    int(s.Gate.RetrySlack / retrySlackParts),
+		RetryPercent: percent, RetryFloor: floor,
 		MaxBodyMemory: int64(s.Gate.MemoryMB) << 20 / bodyMemoryPart,
 		Crowd:         d.crowd, Log: log, Metrics: registry,
 	})
@@ -164,10 +170,10 @@
 // with engines.
 func (d *Gate) relays() []string {
 	c := d.gate.Catalog()
-	if c == nil || d.s.Gate.RelayPort == 0 {
+	port := uint16(d.changeable.Load().Gate.RelayPort)
+	if c == nil || port == 0 {
 		return nil
 	}
-	port := uint16(d.s.Gate.RelayPort)
 	var addresses []string
 	for _, s := range d.servers.All() {
 		service := c.Service(s.Service)
@@ -232,6 +238,25 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Reload implements Reloader. The bounds of the drain, retries and the port of the
+// relays change at once.
+func (d *Gate) Reload(s settings.Settings) bool {
+	d.gate.SetRetries(retryBounds(s.Gate))
+	d.changeable.Store(&s)
+	rest := s
+	before := d.s
+	rest.DrainTimeout, before.DrainTimeout = 0, 0
+	rest.Gate.RetryShare, before.Gate.RetryShare = 0, 0
+	rest.Gate.RetrySlack, before.Gate.RetrySlack = 0, 0
+	rest.Gate.RelayPort, before.Gate.RelayPort = 0, 0
+	return reflect.DeepEqual(rest, before)
+}
+
+// retryBounds returns this gate's part of the operators' bounds of retries.
+func retryBounds(g settings.Gate) (percent, floor int) {
+	return int(g.RetryShare * retryShareUsed * 100), int(g.RetrySlack / retrySlackParts)
+}
+
 // InProgress returns the number of requests that have not ended.
 func (d *Gate) InProgress() int { return d.gate.InProgress() }
 
@@ -240,7 +265,7 @@
 // what budgets it holds.
 func (d *Gate) Drain(ctx context.Context) error {
 	d.gate.Drain()
-	serving, cancel := context.WithTimeout(ctx, d.s.DrainTimeout.Std()-stopReserve)
+	serving, cancel := context.WithTimeout(ctx, d.changeable.Load().DrainTimeout.Std()-stopReserve)
 	defer cancel()
 	select {
 	case <-time.After(leaveRotation):
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -50,11 +50,18 @@
 // traceFlushTimeout bounds the sending of the last spans.
 const traceFlushTimeout = 5 * time.Second
 
+// Signals are what an operator asks of a process.
+type Signals struct {
+	// Stops delivers one value for each request to stop; only the first starts the
+	// drain, later ones log how many requests are in progress.
+	Stops <-chan struct{}
+	// Reloads delivers one value for each request to read the settings again.
+	Reloads <-chan struct{}
+}
+
 // Run runs a process with its telemetry until a stop is asked for and the drain
-// has ended. The registry receives its metrics. stops delivers one value for each
-// request to stop; only the first starts the drain, later ones log how many
-// requests are in progress.
-func Run(ctx context.Context, s settings.Settings, registry metrics.Registry, log *slog.Logger, stops <-chan struct{}) error {
+// has ended. path is the settings' file. The registry receives the metrics.
+func Run(ctx context.Context, path string, s settings.Settings, registry metrics.Registry, log *slog.Logger, signals Signals) error {
 	flush, err := telemetry.SetupTraces(ctx, s)
 	if err != nil {
 		return err
@@ -70,7 +77,11 @@
 	group.Go(func() error { return serveTelemetry(ctx, s.Telemetry.Listen, registry) })
 	group.Go(func() error {
 		defer cancel()
-		return awaitStop(ctx, p, s.DrainTimeout.Std(), log, stops)
+		return awaitStop(ctx, p, s.DrainTimeout.Std(), log, signals.Stops)
+	})
+	group.Go(func() error {
+		r := &reloader{path: path, current: s, process: p, log: log}
+		return r.run(ctx, signals.Reloads)
 	})
 	err = group.Wait()
 	flushCtx, stop := context.WithTimeout(context.Background(), traceFlushTimeout)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -67,12 +67,27 @@
 
 	mu      sync.Mutex
 	retries map[string]*admission.RetryBudget
+	percent int // of retries, see Options
+	floor   int
 }
 
 // New returns a gate without a configuration. It refuses all requests until it has
 // one.
 func New(o Options) *Gate {
-	return &Gate{opts: o, stats: newStats(o.Metrics), retries: make(map[string]*admission.RetryBudget)}
+	return &Gate{
+		opts: o, stats: newStats(o.Metrics), retries: make(map[string]*admission.RetryBudget),
+		percent: o.RetryPercent, floor: o.RetryFloor,
+	}
+}
+
+// SetRetries changes the bounds of retries; see Options.
+func (g *Gate) SetRetries(percent, floor int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if percent != g.percent || floor != g.floor {
+		g.percent, g.floor = percent, floor
+		clear(g.retries)
+	}
 }
 
 // SetCatalog puts a configuration into force for requests that come from now on.
@@ -96,7 +111,7 @@
 	defer g.mu.Unlock()
 	b := g.retries[service]
 	if b == nil {
-		b = admission.NewRetryBudgetOf(g.opts.RetryPercent, g.opts.RetryFloor)
+		b = admission.NewRetryBudgetOf(g.percent, g.floor)
 		g.retries[service] = b
 	}
 	return b
