--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -1,11 +1,13 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -34,14 +36,18 @@
 	// conflictTries is how often a transaction is tried again at once after another
 	// gate changed an account.
 	conflictTries = 6
+	// conflictPause bounds the random pause after a conflict, which keeps gates that
+	// met from meeting again.
+	conflictPause = 8 * time.Millisecond
 	// maxWait is how long a request waits for its gate's share to grow.
 	maxWait = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed exchange.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// shortMemory is how long an account that could not cover a request is not asked
-	// again for others.
-	shortMemory = time.Second
+	// minShort and maxShort bound how long an account that could not cover a request
+	// is not asked again for others. The time doubles while the account stays short.
+	minShort = 500 * time.Millisecond
+	maxShort = 6 * time.Second
 	// retryUnreached is the Retry-After of a request that the gate's share does not
 	// cover, though the workspace's balance may.
 	retryUnreached = 500 * time.Millisecond
@@ -107,6 +113,9 @@
 			l = newLedger(workspace, now)
 			b.ledgers[workspace] = l
 		}
+		if tokens > l.paid {
+			l.shortFor, l.shortUntil = 0, time.Time{}
+		}
 		l.paid = tokens
 	}
 	b.signal()
@@ -219,17 +228,24 @@
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", l.describe(now))
 	}
 	if l.synced.After(began) {
-		if l.limit()-l.spent-l.reserved < bound {
-			l.short = l.synced
-		}
+		l.noteShort(bound)
 		return unreached("other gates hold what is left of the balance: " + l.describe(now))
 	}
-	if began.Sub(l.short) < shortMemory {
+	if began.Before(l.shortUntil) {
 		return unreached("other gates held what is left of the balance a moment ago: " + l.describe(now))
 	}
 	return nil
 }
 
+// noteShort notes that the account was read and does not cover a request.
+func (l *ledger) noteShort(bound Tokens) {
+	if l.limit()-l.spent-l.reserved >= bound || l.synced.Before(l.shortUntil) {
+		return
+	}
+	l.shortFor = min(max(l.shortFor*2, minShort), maxShort)
+	l.shortUntil = l.synced.Add(l.shortFor)
+}
+
 // describe gives the amounts that decide about a request, for logs.
 func (l *ledger) describe(now Instant) string {
 	others := l.account.limits() - l.account.Closed - l.account.share(l.share.Holder).Limit
@@ -305,12 +321,13 @@
 		if now.Sub(l.averaged) >= tick {
 			l.average(now)
 		}
-		if l.drawDue(now) && len(batch) < accountsPerTxn {
+		if l.drawDue(now) {
 			batch = append(batch, l)
 		}
 		state = state || l.stateDue(instant) || age >= stateInterval && l.spent != l.lastRow().Spent
 	}
-	return batch, state || len(b.unresolved) > 0
+	slices.SortFunc(batch, func(a, b *ledger) int { return cmp.Compare(b.wanted, a.wanted) })
+	return batch[:min(len(batch), accountsPerTxn)], state || len(b.unresolved) > 0
 }
 
 // planner returns the account that a ledger should write.
@@ -345,6 +362,12 @@
 		if err := b.learn(p, result.Current); err != nil {
 			return err
 		}
+		// The fewer accounts, the less likely is the next conflict. Those left out
+		// are due again.
+		batch = batch[:(len(batch)+1)/2]
+		if err := pause(ctx, rand.N(conflictPause)); err != nil {
+			return err
+		}
 	}
 	return errConflicts
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -51,8 +51,11 @@
 	recent   Tokens  // reserved since the demand was averaged
 	averaged time.Time
 	synced   time.Time
-	short    time.Time     // when a request was refused for want of balance
-	changed  chan struct{} // closed when the account was read again
+	// shortUntil is until when the account is not asked again after it could not
+	// cover a request, and shortFor how long that was.
+	shortUntil time.Time
+	shortFor   time.Duration
+	changed    chan struct{} // closed when the account was read again
 }
 
 func newLedger(workspace string, now time.Time) *ledger {
@@ -91,6 +94,7 @@
 	}
 	l.reserved += amount
 	l.recent += amount
+	l.shortFor = 0
 	return true
 }
 
