--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -70,9 +70,8 @@
 
 // budgets is a budget without a store.
 type budgets struct {
-	mu       sync.Mutex
-	reserved prepaid.Tokens
-	refuse   error
+	mu     sync.Mutex
+	refuse error
 }
 
 func (b *budgets) Reserve(context.Context, string, prepaid.Tokens) (*prepaid.Reservation, error) {
@@ -99,8 +98,6 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	bodies   []string
-	gone     chan struct{} // closed when a connection ended under a request
-	goneOnce sync.Once
 }
 
 func (s *server) serve(conn net.Conn) {
@@ -183,7 +180,7 @@
 	for i, s := range scripts {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		c.Assert(err, qt.IsNil)
-		b := &server{id: fmt.Sprintf("s%d", i), listener: listener, script: s, gone: make(chan struct{})}
+		b := &server{id: fmt.Sprintf("s%d", i), listener: listener, script: s}
 		w.servers = append(w.servers, b)
 		go func() {
 			for {
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -227,7 +227,7 @@
 	if !l.account.mayCover(l.position(self), l.paid, bound) {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", l.describe(now))
 	}
-	if l.synced.After(began) {
+	if l.synced.After(began) && l.paid-l.account.limits() < bound {
 		l.noteShort(bound)
 		return unreached("other gates hold what is left of the balance: " + l.describe(now))
 	}
@@ -237,6 +237,14 @@
 	return nil
 }
 
+// readAge says when the account was read, for logs.
+func (l *ledger) readAge() string {
+	if l.synced.IsZero() {
+		return "never"
+	}
+	return time.Since(l.synced).Round(time.Millisecond).String() + " ago"
+}
+
 // noteShort notes that the account was read and does not cover a request.
 func (l *ledger) noteShort(bound Tokens) {
 	if l.limit()-l.spent-l.reserved >= bound || l.synced.Before(l.shortUntil) {
@@ -249,8 +257,8 @@
 // describe gives the amounts that decide about a request, for logs.
 func (l *ledger) describe(now Instant) string {
 	others := l.account.limits() - l.account.Closed - l.account.share(l.share.Holder).Limit
-	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended gates %d of which spent %d, account read %d ms ago",
-		l.paid, l.spent, l.reserved, l.limit(), l.usable(now), others, l.account.Closed, l.account.ClosedSpent, time.Since(l.synced).Milliseconds())
+	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended gates %d of which spent %d, account read %s",
+		l.paid, l.spent, l.reserved, l.limit(), l.usable(now), others, l.account.Closed, l.account.ClosedSpent, l.readAge())
 }
 
 func unreached(detail string) *verdict.Error {
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -61,24 +61,24 @@
 	free := max(paid-next.limits(), 0)
 	window := p.window(&next, self, paid)
 	share := next.share(self.holder)
-	share.Limit += min(max(window-self.reserved, 0), free)
+	share.Limit += min(window, free)
 	next.put(share)
 	return next
 }
 
-// window returns how much more than it has spent a gate should be able to spend:
-// its demand over the horizon, but only a part of what would be its own if what is
+// window returns how much more than it has spent and reserved a gate should be able
+// to spend: its demand over the horizon, but only a part of what would be its own if what is
 // left were divided by demand. So shares are large while there is plenty, and little
 // is out of reach when it runs out.
 func (p Policy) window(a *Account, self position, paid Tokens) Tokens {
-	left := max(paid-a.spent()-(a.Closed-a.ClosedSpent), 0)
+	left := max(paid-a.spent()-(a.Closed-a.ClosedSpent)-a.reservedByOthers(self.holder)-self.reserved, 0)
 	total := a.demand()
 	if total == 0 {
-		return max(min(paid/p.FirstShare, left/p.LargestPart), self.wanted+self.reserved)
+		return max(min(paid/p.FirstShare, left/p.LargestPart), self.wanted)
 	}
 	fair := Tokens(float64(left) * float64(self.demand) / float64(total))
 	window := min(self.demand*p.Horizon.Milliseconds()/1000, fair/p.LargestPart)
-	return max(window, p.least(self, left), self.wanted+self.reserved)
+	return max(window, p.least(self, left), self.wanted)
 }
 
 // least returns the window of a gate whose part of the demand is small.
--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -310,3 +311,34 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Plays a workspace whose callers are all at one gate and whose requests reserve
+// much more than they use, for long: nothing is refused while the balance lasts.
+func TestOneGateUsesTheWholeBalance(t *testing.T) {
+	const paid, bound, used, requests = 3_000_000, 6000, 1500, 700
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t, 5, 4)
+		w.setPaid(paid)
+		book := w.hosts[0].book
+		var refused atomic.Int32
+		for range requests {
+			go func() {
+				r, err := book.Reserve(t.Context(), "ws", bound)
+				if err != nil {
+					refused.Add(1)
+					return
+				}
+				time.Sleep(1500 * time.Millisecond)
+				r.Settle(used)
+			}()
+			time.Sleep(8 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+		c.Assert(refused.Load(), qt.Equals, int32(0))
+		for _, h := range w.hosts {
+			h.stop()
+		}
+		time.Sleep(time.Second)
+	})
+}
