--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -36,6 +36,8 @@
 	// conflictTries is how often a transaction is tried again at once after another
 	// gate changed an account.
 	conflictTries = 6
+	// waitStep is how often a request that waits looks again.
+	waitStep = 25 * time.Millisecond
 	// conflictPause bounds the random pause after a conflict, which keeps gates that
 	// met from meeting again.
 	conflictPause = 8 * time.Millisecond
@@ -193,6 +195,9 @@
 		b.signal()
 		err := wait(ctx, changed, timeout.C)
 		b.mu.Lock()
+		if err != nil && err.Code != verdict.CodeCanceled && l.reserve(bound, b.opts.Clock.Now()) {
+			return &Reservation{book: b, ledger: l, amount: bound}, nil
+		}
 		if err != nil {
 			err.Detail += ": " + l.describe(b.opts.Clock.Now())
 			b.countRefusal(err)
@@ -201,12 +206,17 @@
 	}
 }
 
-// wait waits for a change of the account. It fails when the time is up or the
-// caller is gone.
+// wait waits for a change of the account, or a little: what may be spent also grows
+// with time, and as other requests end. It fails when the time is up or the caller
+// is gone.
 func wait(ctx context.Context, changed <-chan struct{}, timeout <-chan time.Time) *verdict.Error {
+	again := time.NewTimer(waitStep)
+	defer again.Stop()
 	select {
 	case <-changed:
 		return nil
+	case <-again.C:
+		return nil
 	case <-timeout:
 		return unreached("the gate's share does not cover the request")
 	case <-ctx.Done():
