--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -29,7 +29,7 @@
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 12 * time.Second, FirstShare: 32, MinWindow: 10000, LargestPart: 4,
+		Horizon: 12 * time.Second, FirstShare: 32, MinWindow: 10000, LargestPart: 6,
 		BurstTime: 1500 * time.Millisecond, RatePercent: 200, MinBurst: 24000, MinRate: 4000,
 	}
 }
