--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -29,7 +29,7 @@
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
-		Horizon: 12 * time.Second, FirstShare: 32, MinWindow: 10000, LargestPart: 8,
+		Horizon: 12 * time.Second, FirstShare: 32, MinWindow: 8000, LargestPart: 10,
 		BurstTime: 1500 * time.Millisecond, RatePercent: 200, MinBurst: 24000, MinRate: 4000,
 	}
 }
@@ -91,7 +91,7 @@
 
 // leastParts bounds the windows of gates with little demand to one in leastParts of
 // what is left each.
-const leastParts = 32
+const leastParts = 48
 
 // row returns what the gate states: what it may spend over time until it writes
 // again.
