--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -8,6 +8,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"golang.org/x/net/http/httpguts"
 
+	"github.com/monsoonworks/monsoonworks/internal/hop"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -25,24 +26,6 @@
 // internalPrefix begins header fields that only the system's own processes set.
 const internalPrefix = "X-Monsoon-"
 
-// hopByHop holds the fields that concern one connection only (RFC 9110, 7.6.1),
-// and those that net/http sets itself.
-var hopByHop = map[string]bool{
-	"Connection":          true,
-	"Content-Length":      true,
-	"Expect":              true,
-	"Host":                true,
-	"Http2-Settings":      true,
-	"Keep-Alive":          true,
-	"Proxy-Authenticate":  true,
-	"Proxy-Authorization": true,
-	"Proxy-Connection":    true,
-	"Te":                  true,
-	"Trailer":             true,
-	"Transfer-Encoding":   true,
-	"Upgrade":             true,
-}
-
 // ownFields holds the fields that the gateway itself reads or sets, so that
 // neither a caller nor a backend server can pass them to the other.
 var ownFields = map[string]bool{
@@ -54,33 +37,17 @@
 	"Traceparent":     true,
 }
 
-// namedByConnection returns the fields that the Connection header declares as
-// hop-by-hop, in canonical form.
-func namedByConnection(h http.Header) map[string]bool {
-	values := h["Connection"]
-	if len(values) == 0 {
-		return nil
-	}
-	named := make(map[string]bool)
-	for _, value := range values {
-		for name := range strings.SplitSeq(value, ",") {
-			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	return named
-}
-
 // forwardable reports whether a field may pass from one side to the other. The
 // name is in canonical form.
 func forwardable(name, value string) bool {
-	return !hopByHop[name] && !ownFields[name] && !strings.HasPrefix(name, internalPrefix) &&
+	return !hop.IsField(name) && !ownFields[name] && !strings.HasPrefix(name, internalPrefix) &&
 		httpguts.ValidHeaderFieldName(name) && httpguts.ValidHeaderFieldValue(value)
 }
 
 // requestHeaders returns the fields of a caller's request that a plain service
 // receives.
 func requestHeaders(h http.Header) []wire.Header {
-	named := namedByConnection(h)
+	named := hop.Named(h)
 	fields := make([]wire.Header, 0, len(h))
 	for name, values := range h {
 		if named[name] {
@@ -104,7 +71,7 @@
 			connection = http.Header{"Connection": append(connection["Connection"], f.Value)}
 		}
 	}
-	named := namedByConnection(connection)
+	named := hop.Named(connection)
 	for _, f := range fields {
 		name := textproto.CanonicalMIMEHeaderKey(f.Name)
 		if name == "Content-Length" && isDecimal(f.Value) {
