End a test connection's writes that nobody will read

Cause: the pump of wiretest.Conn stayed in net.Pipe's write when the other end was closed or frozen, and left a goroutine in the bubble (TestLateAccepted, TestLostConnectionContinues/silent; 3 of 24 runs beside load). Ruled out for this: yamux's timers. The failures of the race detector's own check were not seen again and are not traced.

--- a/internal/wire/wiretest/network.go
+++ b/internal/wire/wiretest/network.go
@@ -73,6 +73,7 @@
 type Conn struct {
 	net.Conn
 	state *state
+	peer  *Conn
 
 	mu     sync.Mutex
 	queue  []byte
@@ -91,13 +92,20 @@
 	a, b := net.Pipe()
 	shared := &state{}
 	client, server = newConn(a, shared), newConn(b, shared)
+	client.peer, server.peer = server, client
+	go client.pump()
+	go server.pump()
 	return client, server
 }
 
 func newConn(c net.Conn, shared *state) *Conn {
-	conn := &Conn{Conn: c, state: shared, wake: make(chan struct{}, 1)}
-	go conn.pump()
-	return conn
+	return &Conn{Conn: c, state: shared, wake: make(chan struct{}, 1)}
+}
+
+// stopWriting ends a write of the pump that the other end will never read.
+func (c *Conn) stopWriting() {
+	// A pipe's deadline can always be set.
+	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 }
 
 // Freeze makes both directions swallow what is sent from now on, the end of the
@@ -106,6 +114,8 @@
 	c.state.mu.Lock()
 	c.state.frozen = true
 	c.state.mu.Unlock()
+	c.stopWriting()
+	c.peer.stopWriting()
 }
 
 func (c *Conn) frozen() bool {
@@ -132,6 +142,7 @@
 	defer c.mu.Unlock()
 	c.closed = true
 	c.signal()
+	c.peer.stopWriting() // this end reads no more
 	return c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
