Leave room for other gates in every draw, and read accounts at start

After a restart of the fleet all gates wrote all accounts at once.

A draw takes at most a sixth of what nobody has, gates give back what they do not need when little is free, and accounts are read in one listing at start.

--- a/internal/prepaid/account.go
+++ b/internal/prepaid/account.go
@@ -146,6 +146,11 @@
 	a.Shares = append(a.Shares, s)
 }
 
+// hasEarlier reports whether there are shares of earlier processes of a holder's host.
+func (a *Account) hasEarlier(holder string) bool {
+	return slices.ContainsFunc(a.Shares, func(s Share) bool { return s.Holder != holder && sameHost(s.Holder, holder) })
+}
+
 // closeBefore ends the shares of earlier processes of a holder's host, which have
 // ended when this one started. What they can have spent counts as spent; last is
 // the statement of the process before, nil if there is none.
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -23,6 +23,10 @@
 	maxSyncInterval = 2500 * time.Millisecond
 	// stateInterval is how often the statement is written while budgets are used.
 	stateInterval = 1500 * time.Millisecond
+	// surplus is the demand that a share covers from which a gate looks whether it
+	// should give some back, and minSurplus the tokens that it keeps in any case.
+	surplus    = 24 * time.Second
+	minSurplus = 30000
 	// drawPercent is the part of a share's window below which the share is changed.
 	drawPercent = 40
 	// tick is how often the book looks for shares to change.
@@ -38,6 +42,9 @@
 	// conflict.
 	refreshAge      = 60 * time.Millisecond
 	refreshAccounts = 3
+	// closeSpread bounds the random time until the share of an earlier process is
+	// closed for which no request asks.
+	closeSpread = 3 * time.Second
 	// waitStep is how often a request that waits looks again.
 	waitStep = 25 * time.Millisecond
 	// conflictPause bounds the random pause after a conflict, which keeps gates that
--- a/internal/prepaid/exchange.go
+++ b/internal/prepaid/exchange.go
@@ -25,12 +25,12 @@
 		case <-ticker.C:
 		case <-b.wake:
 		}
-		batch, state := b.due(time.Now())
-		if len(batch) == 0 && !state {
-			continue
+		err := b.load(ctx)
+		if batch, state := b.due(time.Now()); err == nil && (len(batch) > 0 || state) {
+			err = b.exchange(ctx, batch, b.planShares)
 		}
-		if err := b.exchange(ctx, batch, b.planShares); err != nil {
-			b.opts.Log.Warn("shares not changed", "accounts", len(batch), "error", err, "retry_in", backoff)
+		if err != nil {
+			b.opts.Log.Warn("shares not changed", "error", err, "retry_in", backoff)
 			if pause(ctx, backoff) != nil {
 				return nil
 			}
@@ -50,6 +50,42 @@
 	}
 }
 
+// load reads all accounts in one listing if one is not known yet. After a restart of
+// the whole fleet, gates that all wrote at once would only meet conflicts.
+func (b *Book) load(ctx context.Context) error {
+	if b.Ready() {
+		return nil
+	}
+	snapshot, err := b.opts.Store.List(ctx, b.opts.Prefix+"account/")
+	if err != nil {
+		return err
+	}
+	found := make(map[string]store.Entry, len(snapshot.Entries))
+	for _, e := range snapshot.Entries {
+		found[e.Key] = e
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	for _, l := range b.ledgers {
+		if l.known {
+			continue
+		}
+		e := found[b.key(l)]
+		account, err := DecodeAccount(e.Value)
+		if err != nil {
+			l.damaged = err
+			b.opts.Log.Error("account not readable", "workspace", l.workspace, "error", err)
+			continue
+		}
+		l.learn(account, e.ModRevision, b.opts.Holder)
+		if account.hasEarlier(b.opts.Holder) {
+			l.closeAt = now.Add(rand.N(closeSpread))
+		}
+	}
+	return nil
+}
+
 // due returns the ledgers whose shares should be changed now, and whether the
 // statement should be written in any case.
 func (b *Book) due(now time.Time) (batch []*ledger, state bool) {
@@ -95,7 +131,7 @@
 		}
 		if result.Committed {
 			b.committed(p, result.Revision)
-			b.opts.Log.Info("shares changed", "accounts", len(batch), "conflicts", try,
+			b.opts.Log.Info("shares changed", "accounts", len(p.batch), "conflicts", try,
 				"revision", result.Revision, "ms", time.Since(began).Milliseconds())
 			return nil
 		}
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -51,6 +51,7 @@
 	recent   Tokens  // reserved since the demand was averaged
 	averaged time.Time
 	synced   time.Time
+	closeAt  time.Time // when the share of an earlier process is closed, zero if there is none
 	// shortUntil is until when the account is not asked again after it could not
 	// cover a request, and shortFor how long that was.
 	shortUntil time.Time
@@ -153,16 +154,22 @@
 	}
 	l.account, l.revision, l.known = a, revision, true
 	l.share = a.share(holder)
+	if !a.hasEarlier(holder) {
+		l.closeAt = time.Time{}
+	}
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
 // drawDue reports whether the share should be changed now.
 func (l *ledger) drawDue(now time.Time) bool {
-	if l.damaged != nil {
+	if l.damaged != nil || !l.known {
 		return false
 	}
-	if !l.known || len(l.unresolved) > 0 || l.wanted > 0 && l.limit()-l.spent-l.reserved < l.wanted {
+	if len(l.unresolved) > 0 || l.wanted > 0 && l.limit()-l.spent-l.reserved < l.wanted {
+		return true
+	}
+	if !l.closeAt.IsZero() && now.After(l.closeAt) {
 		return true
 	}
 	if now.Sub(l.synced) < minSyncInterval {
@@ -172,7 +179,12 @@
 		// An idle gate gives back what it holds.
 		return now.Sub(l.synced) >= maxSyncInterval && l.share.Limit > l.spent && l.demand() < 1
 	}
-	return l.limit()-l.spent-l.reserved < (l.share.Limit-l.share.Spent)*drawPercent/100
+	unused := l.limit() - l.spent - l.reserved
+	if now.Sub(l.synced) >= maxSyncInterval && unused > minSurplus && float64(unused) > l.demand()*surplus.Seconds() {
+		// Other gates may be short of what this one does not need.
+		return true
+	}
+	return unused < (l.share.Limit-l.share.Spent)*drawPercent/100
 }
 
 // stateDue reports whether the statement keeps requests from what the share allows.
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -60,12 +60,25 @@
 	})
 	free := max(paid-next.limits(), 0)
 	window := p.window(&next, self, paid)
+	had := max(a.share(self.holder).Limit-self.spent-self.reserved, 0)
+	if free-had > paid/plentyParts {
+		window = max(window, had) // nobody is short of it
+	}
+	most := max(free/freeParts, min(max(self.wanted, had), free))
 	share := next.share(self.holder)
-	share.Limit += min(window, free)
+	share.Limit += min(window, most)
 	next.put(share)
 	return next
 }
 
+// plentyParts is the part of what was paid, as one in plentyParts, above which what
+// nobody has is plenty, and no gate gives any back.
+const plentyParts = 8
+
+// freeParts bounds what a gate takes at once to one in freeParts of what nobody has,
+// so that after many gates took some there is some left for others.
+const freeParts = 6
+
 // window returns how much more than it has spent and reserved a gate should be able
 // to spend: its demand over the horizon, but only a part of what would be its own if what is
 // left were divided by demand. So shares are large while there is plenty, and little
--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -315,7 +315,7 @@
 		for _, h := range w.hosts {
 			h.start(t, w.paidMap())
 		}
-		time.Sleep(time.Second)
+		time.Sleep(closeSpread + time.Second)
 		raw, err := w.hosts[0].store.Get(t.Context(), "a/account/ws")
 		c.Assert(err, qt.IsNil)
 		account, err := DecodeAccount(raw.Value)
@@ -361,3 +361,38 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Plays the restart of a whole fleet of 40 gates whose callers all come back at
+// once to one workspace: 1.5 s later nobody is refused any more.
+func TestFleetRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(t, 11, 40)
+		w.setPaid(40_000_000)
+		play := func(requests int) {
+			for range requests {
+				w.request()
+				time.Sleep(5 * time.Millisecond)
+			}
+		}
+		play(400)
+		for _, h := range w.hosts {
+			h.stop()
+		}
+		time.Sleep(800 * time.Millisecond)
+		for _, h := range w.hosts {
+			h.start(t, w.paidMap())
+		}
+		play(300)
+		time.Sleep(maxWait)
+		_, before := w.totals()
+		play(600)
+		time.Sleep(time.Second)
+		_, after := w.totals()
+		c.Assert(after-before <= 6, qt.IsTrue, qt.Commentf("%d of 600 refused", after-before))
+		for _, h := range w.hosts {
+			h.stop()
+		}
+		time.Sleep(4 * time.Second)
+	})
+}
