--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -165,7 +165,7 @@
 	})
 }
 
-func newWorld(t *testing.T, scripts ...script) *world {
+func newWorld(t testing.TB, scripts ...script) *world {
 	c := qt.New(t)
 	w := &world{c: c, table: fleet.NewTable(), budgets: &budgets{}, client: &http.Client{Transport: &http.Transport{}}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
