Test what mutations of the gate survived

Taking out the look at a kept connection, the list of tried servers and the rule of what a request used was not noticed by any test; each is now. TestCallerLeaves allowed the route's timeout to free the server.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/monsoonworks/monsoonworks/internal/catalog"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -194,10 +195,11 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, "POST", w.url+"/unsafe/", nil)
+	r, err := http.NewRequestWithContext(ctx, "POST", w.url+"/stream/", nil)
 	w.c.Assert(err, qt.IsNil)
 	r.Host = "h"
 	r.Header.Set("Key", "k")
+	r.Header.Set("Tokens", "1")
 	_, err = w.client.Do(r)
 	w.c.Assert(err, qt.IsNotNil)
 	select {
@@ -262,3 +264,43 @@
 	w.c.Assert(w.front.Shutdown(ctx), qt.IsNil)
 	w.c.Assert((<-results).body, qt.Equals, "fine")
 }
+
+// Guards against an order that is sent on a connection that its server has closed:
+// its outcome would not be known.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	w := newWorld(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		answer(conn, r, 200, "fine")
+		return false
+	})
+	for range 3 {
+		w.c.Assert(w.do("POST", "/unsafe/").status, qt.Equals, 200)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against a request that goes twice to the same server.
+func TestServerIsTriedOnce(t *testing.T) {
+	w := newWorld(t, shed)
+	w.c.Assert(w.do("POST", "/unsafe/").status, qt.Equals, 503)
+	w.c.Assert(w.servers[0].ran(), qt.HasLen, 1)
+}
+
+// Guards against a bill for a request that did not run, for a prompt more than once,
+// or for more output than the request may have.
+func TestUsedTokens(t *testing.T) {
+	c := qt.New(t)
+	service := &catalog.Service{Engine: &catalog.Engine{EventTokens: 6}}
+	for _, test := range []struct {
+		mayRan bool
+		sent   int
+		events int
+		want   int64
+	}{
+		{false, 2, 0, 0}, {true, 1, 0, 100}, {true, 2, 3, 118}, {true, 1, 20, 150},
+	} {
+		x := &exchange{service: service, mayRan: test.mayRan, sent: test.sent}
+		x.call.PromptTokens, x.call.MaxOutputTokens = 100, 50
+		x.stream.delivered = test.events
+		c.Assert(x.used(), qt.Equals, test.want)
+	}
+}
