--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -8,9 +8,12 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"github.com/monsoonworks/monsoonworks/internal/catalog"
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
 	"github.com/monsoonworks/monsoonworks/internal/place"
+	"github.com/monsoonworks/monsoonworks/internal/telemetry"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
@@ -104,7 +107,7 @@
 		return false
 	case x.stream.begun:
 		x.gate.stats.broken.Inc(1)
-		x.code = verdict.CodeServerLost
+		x.code, x.detail = verdict.CodeServerLost, "the stream broke and cannot go on elsewhere"
 		return false
 	case last != nil && last.answer != nil:
 		x.relay(last.answer, last.body)
@@ -134,8 +137,11 @@
 	record := attemptRecord{Server: s.ID, Reason: reason, Waiting: s.Waiting()}
 	x.tried = append(x.tried, s.ID)
 	x.gate.stats.attempts.Inc(1)
+	_, span := telemetry.StartSpan(x.r.Context(), spanAttempt,
+		attribute.String("monsoon.server", s.ID), attribute.String("monsoon.reason", string(reason)))
 	a := s.Begin(x.class(), started)
 	e := x.send(s, a)
+	telemetry.EndSpan(span, string(e.code))
 	now := time.Now()
 	a.End(e.result, now)
 	record.Result, record.Millis = resultNames[e.result], now.Sub(started).Milliseconds()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -14,6 +14,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
 	"github.com/monsoonworks/monsoonworks/internal/place"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/telemetry"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -29,6 +30,12 @@
 	retryNoServer = 300 * time.Millisecond
 )
 
+// Names of spans.
+const (
+	spanRequest = "gate.request"
+	spanAttempt = "gate.attempt"
+)
+
 // exchange is one request of a caller on its way through the gate.
 type exchange struct {
 	gate    *Gate
@@ -65,7 +72,9 @@
 		// The caller goes on at another gate.
 		w.Header().Set("Connection", "close")
 	}
-	x := &exchange{gate: g, w: w, r: r, started: time.Now()}
+	ctx, span := telemetry.StartSpan(r.Context(), spanRequest)
+	x := &exchange{gate: g, w: w, r: r.WithContext(ctx), started: time.Now()}
+	defer func() { telemetry.EndSpan(span, string(x.code)) }()
 	if err := x.admit(); err != nil {
 		x.refuse(err)
 		x.log()
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -46,6 +46,9 @@
 	control := http.NewResponseController(x.w)
 	buffer := make([]byte, 0, streamBufferBytes)
 	joining := x.stream.begun
+	if joining {
+		x.gate.stats.resumed.Inc(1)
+	}
 	for {
 		if err := conn.AwaitUntil(x.stallTime()); err != nil {
 			conn.Discard()
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -251,7 +251,9 @@
 		return unreached("other gates hold what is left of the balance: " + l.describe(now))
 	}
 	if began.Before(l.shortUntil) {
-		return unreached("other gates held what is left of the balance a moment ago: " + l.describe(now))
+		err := unreached("other gates held what is left of the balance a moment ago: " + l.describe(now))
+		err.RetryAfter = max(err.RetryAfter, l.shortUntil.Sub(began))
+		return err
 	}
 	return nil
 }
