Hold each workspace's budget at one relay instead of at every gate

Cause: every gate kept a share of every workspace.

Change: internal/reserve carries reservations over net/rpc from gates to the relay that rendezvous hashing names; that relay holds the share (prepaid.Book is unchanged but for its start: it adopts from the host's statement instead of listing all accounts). The next relay is asked if one does not answer or does not reach the store; without any a gate takes a share of its own. A claim carries what was paid, so holders need not watch the configuration.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -24,6 +24,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/place"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/relay"
+	"github.com/monsoonworks/monsoonworks/internal/reserve"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/platform"
@@ -31,8 +32,6 @@
 
 // Figures of a gate's start and stop.
 const (
-	// budgetPrefix begins the keys of accounts and statements in the store.
-	budgetPrefix = "mw/"
 	// leaveRotation is how long a gate that stops goes on accepting callers, until
 	// the platform's balancer has noticed that it is not ready.
 	leaveRotation = 2300 * time.Millisecond
@@ -59,7 +58,8 @@
 	log      *slog.Logger
 	registry metrics.Registry
 	servers  *fleet.Table
-	book     *prepaid.Book
+	book     *prepaid.Book // used while no holder is reached
+	budgets  *reserve.Client
 	pool     *upstream.Pool
 	crowd    *crowd.Meter
 	gate     *gate.Gate
@@ -82,20 +82,14 @@
 		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
 		Relays: d.relays, Log: log, Metrics: registry,
 	})
-	clock, err := prepaid.NewBootClock()
-	if err != nil {
-		log.Warn("what an earlier process left unspent cannot be told", "error", err)
-	}
-	now := clock.Now()
-	log.Info("host clock", "boot", now.Boot, "ms", now.Millis)
-	d.book = prepaid.NewBook(prepaid.Options{
-		Holder: prepaid.HolderName(s.Name, hex.EncodeToString(start[:4])), Prefix: budgetPrefix, Clock: clock,
-		Store: st, Policy: prepaid.DefaultPolicy(), Log: log, Metrics: registry,
+	d.book = newBook(s.Name, hex.EncodeToString(start[:4]), st, registry, log)
+	d.budgets = reserve.NewClient(reserve.Options{
+		Gate: d.book.Holder(), Holders: d.relays, Dial: relay.DialTCP(), Own: d.book, Log: log, Metrics: registry,
 	})
 	percent, floor := retryBounds(s.Gate)
 	d.gate = gate.New(gate.Options{
 		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
-		Servers: d.servers, Budgets: d.book, Pool: d.pool, Protocol: platform.Protocol{}, Policy: place.DefaultPolicy(),
+		Servers: d.servers, Budgets: d.budgets, Pool: d.pool, Protocol: platform.Protocol{}, Policy: place.DefaultPolicy(),
 		RetryPercent: percent, RetryFloor: floor,
 		MaxBodyMemory: int64(s.Gate.MemoryMB) << 20 / bodyMemoryPart,
 		Crowd:         d.crowd, Log: log, Metrics: registry,
@@ -136,16 +130,9 @@
 	if current := d.gate.Catalog(); current != nil && next.Version <= current.Version {
 		return
 	}
-	paid := make(map[string]prepaid.Tokens)
-	for name, workspace := range next.Workspaces() {
-		if workspace.Metered {
-			paid[name] = workspace.Prepaid
-		}
-	}
-	d.book.SetPaid(paid)
 	d.gate.SetCatalog(next)
 	d.front.SetLimits(next.Limits)
-	d.log.Info("configuration in force", "version", next.Version, "revision", entry.ModRevision, "workspaces", len(paid))
+	d.log.Info("configuration in force", "version", next.Version, "revision", entry.ModRevision)
 }
 
 // applyServers takes over the servers' entries. Entries that name no server are
@@ -193,6 +180,7 @@
 	group.Go(func() error { return d.config.Run(ctx) })
 	group.Go(func() error { return d.entries.Run(ctx) })
 	group.Go(func() error { return d.book.Run(ctx) })
+	group.Go(func() error { return d.budgets.Run(ctx) })
 	group.Go(func() error { return d.prune(ctx) })
 	group.Go(func() error { return d.crowd.Run(ctx, d.logCrowd) })
 	group.Go(func() error {
@@ -225,9 +213,9 @@
 }
 
 // Ready reports whether the gate can serve callers: it has a configuration, knows
-// servers, has read the accounts and is not crowded.
+// servers and is not crowded.
 func (d *Gate) Ready() bool {
-	return d.gate.Catalog() != nil && d.entries.Known() && d.book.Ready() && !d.gate.Draining() && !d.crowd.Crowded()
+	return d.gate.Catalog() != nil && d.entries.Known() && !d.gate.Draining() && !d.crowd.Crowded()
 }
 
 func (d *Gate) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -277,6 +265,9 @@
 	if err := d.front.Shutdown(serving); err != nil {
 		d.log.Warn("requests outlast the drain", "in_progress", d.InProgress(), "error", err)
 	}
+	if err := d.budgets.Close(ctx); err != nil {
+		d.log.Warn("reservations not settled", "error", err)
+	}
 	if err := d.book.Close(ctx); err != nil {
 		d.log.Warn("budgets not given back", "error", err)
 	}
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -2,50 +2,85 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"fmt"
 	"log/slog"
 	"net"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/relay"
+	"github.com/monsoonworks/monsoonworks/internal/reserve"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 	"github.com/monsoonworks/monsoonworks/platform"
 )
 
-// Relay is a relay process.
+// Relay is a relay process: it carries store calls of gates, and holds the budgets of
+// the workspaces for which gates ask it.
 type Relay struct {
-	listen  string
+	s       settings.Settings
 	store   relay.Backend
+	book    *prepaid.Book
 	metrics metrics.Registry
 	log     *slog.Logger
+	lender  *reserve.Server
+	stop    context.CancelFunc // ends calls in progress
+	server  *relay.Server
 }
 
 // NewRelay makes a relay. Run starts it.
 func NewRelay(s settings.Settings, registry metrics.Registry, log *slog.Logger) (*Relay, error) {
-	return &Relay{
-		listen: s.Relay.Listen, metrics: registry, log: log,
+	start, err := uuid.NewRandom()
+	if err != nil {
+		return nil, err
+	}
+	r := &Relay{
+		s: s, metrics: registry, log: log,
 		store: platform.NewStore(platform.StoreOptions{Address: s.Relay.Store, Metrics: registry}),
-	}, nil
+	}
+	r.book = newBook(s.Name, hex.EncodeToString(start[:4]), r.store, registry, log)
+	var calls context.Context
+	calls, r.stop = context.WithCancel(context.Background())
+	r.lender = reserve.NewServer(calls, r.book, registry, log)
+	if r.server, err = relay.NewServer(calls, r.store, registry, log); err != nil {
+		return nil, err
+	}
+	return r, r.server.Register(reserve.ServiceName, r.lender)
 }
 
-// Run passes calls on until ctx ends.
+// Run serves gates until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", r.listen)
+	defer r.stop()
+	listener, err := net.Listen("tcp", r.s.Relay.Listen)
 	if err != nil {
 		return fmt.Errorf("relay: %w", err)
 	}
-	server, err := relay.NewServer(ctx, r.store, r.metrics, r.log)
-	if err != nil {
-		return err
-	}
-	r.log.Info("relay started", "listen", r.listen)
-	stop := func() { _ = listener.Close() } // nothing is left to be accepted
-	return runUntil(ctx, func() error { return server.Serve(listener) }, stop)
+	r.log.Info("relay started", "listen", r.s.Relay.Listen)
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return r.book.Run(ctx) })
+	group.Go(func() error { return r.lender.Run(ctx) })
+	group.Go(func() error {
+		stop := func() { _ = listener.Close() } // nothing is left to be accepted
+		return runUntil(ctx, func() error { return r.server.Serve(listener) }, stop)
+	})
+	return group.Wait()
 }
 
-// InProgress returns 0: a call that a stop breaks off goes another way.
-func (r *Relay) InProgress() int { return 0 }
+// InProgress returns the number of reservations that are not settled. A store call
+// that a stop breaks off goes another way.
+func (r *Relay) InProgress() int { return r.lender.Open() }
 
-// Drain has nothing to wait for.
-func (r *Relay) Drain(context.Context) error { return nil }
+// Drain prepares a planned stop: nothing is lent any more, reservations are settled,
+// and what is left is given back.
+func (r *Relay) Drain(ctx context.Context) error {
+	settling, cancel := context.WithTimeout(ctx, r.s.DrainTimeout.Std()-stopReserve)
+	defer cancel()
+	r.lender.Drain(settling)
+	if err := r.book.Close(ctx); err != nil {
+		r.log.Warn("budgets not given back", "error", err)
+	}
+	return nil
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -21,11 +21,11 @@
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 )
 
-// Budgets reserves tokens of workspaces; prepaid.Book implements it.
+// Budgets reserves tokens of workspaces; reserve.Client implements it.
 type Budgets interface {
 	// Reserve takes the bound of a request. Its errors are *verdict.Error with
 	// NotRun.
-	Reserve(ctx context.Context, workspace string, bound prepaid.Tokens) (*prepaid.Reservation, error)
+	Reserve(ctx context.Context, claim prepaid.Claim) (prepaid.Reservation, error)
 }
 
 // Crowd tells when a host can take no more callers; crowd.Meter implements it.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -33,6 +33,7 @@
 // Names of spans.
 const (
 	spanRequest = "gate.request"
+	spanReserve = "gate.reserve"
 	spanAttempt = "gate.attempt"
 )
 
@@ -203,14 +204,19 @@
 
 // reserve takes the request's bound from the workspace's budget. Requests that
 // consume no tokens need none.
-func (x *exchange) reserve() (*prepaid.Reservation, *verdict.Error) {
+func (x *exchange) reserve() (prepaid.Reservation, *verdict.Error) {
 	if x.workspace == nil || !x.workspace.Metered || x.service.Engine == nil {
 		return nil, nil
 	}
 	if !x.call.Metered {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request does not declare its tokens")
 	}
-	reservation, err := x.gate.opts.Budgets.Reserve(x.r.Context(), x.workspace.Name, x.call.PromptTokens+x.call.MaxOutputTokens)
+	ctx, span := telemetry.StartSpan(x.r.Context(), spanReserve)
+	reservation, err := x.gate.opts.Budgets.Reserve(ctx, prepaid.Claim{
+		Workspace: x.workspace.Name, Paid: x.workspace.Prepaid, Version: x.catalog.Version,
+		Bound: x.call.PromptTokens + x.call.MaxOutputTokens,
+	})
+	telemetry.EndSpan(span, spanCode(err))
 	if err == nil {
 		return reservation, nil
 	}
@@ -221,6 +227,14 @@
 	return nil, refusal
 }
 
+// spanCode returns the code that a span ends with, empty without an error.
+func spanCode(err error) string {
+	if err == nil {
+		return ""
+	}
+	return string(verdict.CodeOf(err))
+}
+
 // used returns the tokens that the request consumed: its prompt if it may have
 // run, and the output that the caller got.
 func (x *exchange) used() prepaid.Tokens {
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -78,12 +79,17 @@
 	Metrics metrics.Registry
 }
 
-// Book holds a gate's shares of all accounts. It is safe for concurrent use.
+// Book holds a process's shares of accounts. It is safe for concurrent use.
 type Book struct {
 	opts  Options
 	self  identity
 	wake  chan struct{}
 	stats stats
+	// failing is set while exchanges fail.
+	failing atomic.Bool
+	// adopted is set when the shares of earlier processes of the host are known. Only
+	// Run uses it.
+	adopted bool
 
 	mu            sync.Mutex
 	ledgers       map[string]*ledger
@@ -112,49 +118,36 @@
 	}
 }
 
-// SetPaid sets what workspaces have paid for. A workspace without an entry keeps
-// its ledger, since its requests may be in progress.
-func (b *Book) SetPaid(paid map[string]Tokens) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	for workspace, tokens := range paid {
-		l := b.ledgers[workspace]
-		if l == nil {
-			l = newLedger(workspace, now)
-			b.ledgers[workspace] = l
-		}
-		if tokens > l.paid {
-			l.shortFor, l.shortUntil = 0, time.Time{}
-		}
-		l.paid = tokens
-	}
-	b.signal()
-}
+// Holder names this process.
+func (b *Book) Holder() string { return b.opts.Holder }
 
-// Ready reports whether every account was read at least once.
-func (b *Book) Ready() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, l := range b.ledgers {
-		if !l.known && l.damaged == nil {
-			return false
-		}
-	}
-	return true
+// Claim asks for a part of a workspace's balance.
+type Claim struct {
+	Workspace string
+	// Paid is what the workspace has paid for, by the configuration Version.
+	Paid    Tokens
+	Version int64
+	// Bound is what the request consumes at most.
+	Bound Tokens
 }
 
 // Reservation is an amount that a request may consume.
-type Reservation struct {
+type Reservation interface {
+	// Settle ends the reservation with what the request consumed, at most the amount
+	// reserved. Further calls do nothing.
+	Settle(used Tokens)
+}
+
+// reservation is a Reservation of a Book.
+type reservation struct {
 	book   *Book
 	ledger *ledger
 	amount Tokens
 	once   sync.Once
 }
 
-// Settle ends the reservation with what the request consumed, at most the amount
-// reserved. Further calls do nothing.
-func (r *Reservation) Settle(used Tokens) {
+// Settle implements Reservation.
+func (r *reservation) Settle(used Tokens) {
 	r.once.Do(func() {
 		r.book.mu.Lock()
 		defer r.book.mu.Unlock()
@@ -162,28 +155,40 @@
 	})
 }
 
-// Reserve takes the bound of a request from the gate's share of the workspace's
+// Reserve takes the bound of a request from the holder's share of the workspace's
 // account. It waits briefly for the share to grow. Its errors are *verdict.Error
 // with NotRun: CodeBudgetExhausted only if the balance in truth does not cover the
-// bound, CodeBudgetUnreached if this gate cannot tell or cannot get at it.
-func (b *Book) Reserve(ctx context.Context, workspace string, bound Tokens) (*Reservation, error) {
+// bound, CodeBudgetUnreached if this holder cannot tell or cannot get at it.
+func (b *Book) Reserve(ctx context.Context, claim Claim) (Reservation, error) {
 	b.mu.Lock()
-	l := b.ledgers[workspace]
-	if l != nil && l.reserve(bound, b.opts.Clock.Now()) {
+	l := b.open(claim.Workspace)
+	l.notePaid(claim.Paid, claim.Version)
+	if l.reserve(claim.Bound, b.opts.Clock.Now()) {
 		b.mu.Unlock()
-		return &Reservation{book: b, ledger: l, amount: bound}, nil
+		return &reservation{book: b, ledger: l, amount: claim.Bound}, nil
 	}
 	b.mu.Unlock()
+	b.stats.waits.Inc(1)
+	return b.await(ctx, l, claim.Bound)
+}
+
+// open returns the ledger of a workspace, which it makes if there is none. It is
+// called under the mutex.
+func (b *Book) open(workspace string) *ledger {
+	l := b.ledgers[workspace]
 	if l == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.CodeBudgetUnreached, "the workspace has no account yet").WithRetryAfter(retryUnreached)
+		l = newLedger(workspace, time.Now())
+		b.ledgers[workspace] = l
 	}
-	b.stats.waits.Inc(1)
-	return b.await(ctx, l, bound)
+	return l
 }
 
+// Failing reports whether the last exchange with the store failed.
+func (b *Book) Failing() bool { return b.failing.Load() }
+
 // await waits until the share covers the bound, the account shows that the balance
 // does not, or the time is up.
-func (b *Book) await(ctx context.Context, l *ledger, bound Tokens) (*Reservation, error) {
+func (b *Book) await(ctx context.Context, l *ledger, bound Tokens) (Reservation, error) {
 	timeout := time.NewTimer(maxWait)
 	defer timeout.Stop()
 	b.mu.Lock()
@@ -193,7 +198,7 @@
 	defer func() { l.wanted -= bound }()
 	for {
 		if l.reserve(bound, b.opts.Clock.Now()) {
-			return &Reservation{book: b, ledger: l, amount: bound}, nil
+			return &reservation{book: b, ledger: l, amount: bound}, nil
 		}
 		if err := l.refusal(b.self, b.opts.Clock.Now(), bound, began); err != nil {
 			b.countRefusal(err)
@@ -205,7 +210,7 @@
 		err := wait(ctx, changed, timeout.C)
 		b.mu.Lock()
 		if err != nil && err.Code != verdict.CodeCanceled && l.reserve(bound, b.opts.Clock.Now()) {
-			return &Reservation{book: b, ledger: l, amount: bound}, nil
+			return &reservation{book: b, ledger: l, amount: bound}, nil
 		}
 		if err != nil {
 			err.Detail += ": " + l.describe(b.opts.Clock.Now())
--- a/internal/prepaid/exchange.go
+++ b/internal/prepaid/exchange.go
@@ -29,6 +29,7 @@
 		if batch, state := b.due(time.Now()); err == nil && (len(batch) > 0 || state) {
 			err = b.exchange(ctx, batch, b.planShares)
 		}
+		b.failing.Store(err != nil)
 		if err != nil {
 			b.opts.Log.Warn("shares not changed", "error", err, "retry_in", backoff)
 			if pause(ctx, backoff) != nil {
@@ -50,40 +51,71 @@
 	}
 }
 
-// load reads all accounts in one listing if one is not known yet. After a restart of
-// the whole fleet, gates that all wrote at once would only meet conflicts.
+// load reads the accounts that are not known yet: those of which an earlier process
+// of the host held a share, and those that requests ask for.
 func (b *Book) load(ctx context.Context) error {
-	if b.Ready() {
+	if err := b.adopt(ctx); err != nil {
+		return err
+	}
+	for _, l := range b.unread() {
+		e, err := b.opts.Store.Get(ctx, b.key(l))
+		if err != nil {
+			return err
+		}
+		b.read(l, e)
+	}
+	return nil
+}
+
+// adopt reads the statement of the process before on this host, and opens the ledgers
+// of which that one had a share.
+func (b *Book) adopt(ctx context.Context) error {
+	if b.adopted {
 		return nil
 	}
-	snapshot, err := b.opts.Store.List(ctx, b.opts.Prefix+"account/")
+	e, err := b.opts.Store.Get(ctx, b.statementKey())
 	if err != nil {
 		return err
 	}
-	found := make(map[string]store.Entry, len(snapshot.Entries))
-	for _, e := range snapshot.Entries {
-		found[e.Key] = e
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.learnStatement(e)
+	if b.self.last != nil {
+		for workspace := range b.self.last.Rows {
+			b.open(workspace)
+		}
 	}
+	b.adopted = true
+	return nil
+}
+
+// unread returns the ledgers whose accounts were not read yet.
+func (b *Book) unread() []*ledger {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	var unread []*ledger
 	for _, l := range b.ledgers {
-		if l.known {
-			continue
-		}
-		e := found[b.key(l)]
-		account, err := DecodeAccount(e.Value)
-		if err != nil {
-			l.damaged = err
-			b.opts.Log.Error("account not readable", "workspace", l.workspace, "error", err)
-			continue
-		}
-		l.learn(account, e.ModRevision, b.opts.Holder)
-		if account.hasEarlier(b.opts.Holder) {
-			l.closeAt = now.Add(rand.N(closeSpread))
+		if !l.known && l.damaged == nil {
+			unread = append(unread, l)
 		}
 	}
-	return nil
+	return unread
+}
+
+// read takes over an account that was read for the first time.
+func (b *Book) read(l *ledger, e store.Entry) {
+	account, err := DecodeAccount(e.Value)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err != nil {
+		l.damaged = err
+		b.opts.Log.Error("account not readable", "workspace", l.workspace, "error", err)
+		return
+	}
+	l.learn(account, e.ModRevision, b.opts.Holder)
+	if account.hasEarlier(b.opts.Holder) {
+		l.closeAt = time.Now().Add(rand.N(closeSpread))
+	}
 }
 
 // due returns the ledgers whose shares should be changed now, and whether the
@@ -221,12 +253,13 @@
 	p.txn.Write = append(p.txn.Write, store.Write{Key: key, Value: value})
 }
 
-// statement returns the gate's present statement: about the budgets of which it has
-// a share, and those of batch.
+// statement returns the holder's present statement: about the budgets of which it has
+// a share, those of batch, and those of which an earlier process may have a share
+// still, so that the next process finds them.
 func (b *Book) statement(batch []*ledger) Statement {
 	s := Statement{Version: recordVersion, Holder: b.opts.Holder, At: b.opts.Clock.Now(), Rows: make(map[string]Row)}
 	for _, l := range b.ledgers {
-		if l.share.Limit > 0 || slices.Contains(batch, l) {
+		if l.share.Limit > 0 || !l.known || l.account.hasEarlier(b.opts.Holder) || slices.Contains(batch, l) {
 			s.Rows[l.workspace] = b.opts.Policy.row(l.position(b.self))
 		}
 	}
@@ -242,7 +275,7 @@
 func (b *Book) key(l *ledger) string { return b.opts.Prefix + "account/" + l.workspace }
 
 // statementKey is the key of the statements of this host's processes.
-func (b *Book) statementKey() string { return b.opts.Prefix + "gate/" + hostOf(b.opts.Holder) }
+func (b *Book) statementKey() string { return b.opts.Prefix + "holder/" + hostOf(b.opts.Holder) }
 
 // committed takes over what was written.
 func (b *Book) committed(p proposal, revision int64) {
@@ -302,9 +335,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.drop(p) // the transaction that showed this was not done
-	if err := b.learnStatement(found[b.statementKey()]); err != nil {
-		return err
-	}
+	b.learnStatement(found[b.statementKey()])
 	var damaged error
 	for _, l := range p.batch {
 		e := found[b.key(l)]
@@ -321,9 +352,9 @@
 
 // learnStatement takes over the host's statement as it is in the store: one of the
 // process before, or one of this process whose answer was lost.
-func (b *Book) learnStatement(e store.Entry) error {
+func (b *Book) learnStatement(e store.Entry) {
 	if e.ModRevision == b.stateRevision {
-		return nil
+		return
 	}
 	s, err := DecodeStatement(e.Value)
 	if err != nil {
@@ -331,12 +362,11 @@
 		// spent.
 		b.opts.Log.Error("statement not readable", "key", e.Key, "error", err)
 		b.stateRevision = e.ModRevision
-		return nil
+		return
 	}
 	if s.Holder == b.opts.Holder {
 		b.settleStatement(s, e.ModRevision)
-		return nil
+		return
 	}
 	b.self.last, b.stateRevision = s, e.ModRevision
-	return nil
 }
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -32,7 +32,9 @@
 // of its Book.
 type ledger struct {
 	workspace string
-	paid      Tokens
+	// paid is what was paid for by the newest configuration that a request came with.
+	paid        Tokens
+	paidVersion int64
 
 	account  Account
 	revision int64
@@ -63,6 +65,17 @@
 	return &ledger{workspace: workspace, account: Account{Version: recordVersion}, averaged: now, changed: make(chan struct{})}
 }
 
+// notePaid notes what the workspace has paid for by a version of the configuration.
+func (l *ledger) notePaid(paid Tokens, version int64) {
+	if version < l.paidVersion || paid == l.paid {
+		return
+	}
+	if paid > l.paid {
+		l.shortFor, l.shortUntil = 0, time.Time{}
+	}
+	l.paid, l.paidVersion = paid, version
+}
+
 // usable returns what the gate may have spent in all by now, whatever became of
 // writes whose answers were lost.
 func (l *ledger) usable(now Instant) Tokens {
--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -15,7 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/faultstore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 )
 
@@ -29,79 +29,17 @@
 	return Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
 }
 
-// lossyStore does writes late, loses answers and is down at times.
-type lossyStore struct {
-	store.KV
-
-	mu     sync.Mutex
-	random *rand.Rand
-	down   bool
-	lose   float64
-	late   bool
-	old    map[string]store.Entry // as it was read before
-}
-
-// set changes the faults.
-func (s *lossyStore) set(change func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change()
-}
-
-// fate decides what becomes of a write.
-func (s *lossyStore) fate() (delay time.Duration, down, lost, late bool, lateBy time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delay = time.Duration(s.random.IntN(20)) * time.Millisecond
-	return delay, s.down, s.random.Float64() < s.lose, s.late, time.Duration(s.random.IntN(3000)) * time.Millisecond
-}
-
-func (s *lossyStore) Commit(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	delay, down, lost, late, lateBy := s.fate()
-	time.Sleep(delay)
-	if down {
-		return store.TxnResult{}, store.ErrUnavailable
-	}
-	if !lost {
-		return s.KV.Commit(ctx, txn)
-	}
-	if late {
-		time.AfterFunc(lateBy, func() { _, _ = s.KV.Commit(context.Background(), txn) }) // its answer is lost
-	} else if _, err := s.KV.Commit(ctx, txn); err != nil {
-		return store.TxnResult{}, err
-	}
-	return store.TxnResult{}, store.ErrUnknownOutcome
-}
-
-// GetStale implements store.StaleReader with states that are up to some writes old.
-func (s *lossyStore) GetStale(ctx context.Context, key string) (store.Entry, error) {
-	delay, down, lost, _, _ := s.fate()
-	time.Sleep(delay)
-	if down {
-		return store.Entry{}, store.ErrUnavailable
-	}
-	e, err := s.KV.Get(ctx, key)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old, ok := s.old[key]
-	s.old[key] = e
-	if lost && ok {
-		return old, err
-	}
-	return e, err
-}
-
 // host is a gate's host in the simulation.
 type host struct {
 	name  string
 	clock *testClock
-	store *lossyStore
+	store *faultstore.Store
 	book  *Book
 	stop  context.CancelFunc
 	boots int
 }
 
-func (h *host) start(t *testing.T, paid map[string]Tokens) {
+func (h *host) start(t *testing.T) {
 	h.boots++
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
@@ -109,7 +47,6 @@
 		Holder: HolderName(h.name, fmt.Sprint(h.boots)), Prefix: "a/", Clock: h.clock, Store: h.store,
 		Policy: DefaultPolicy(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry(),
 	})
-	h.book.SetPaid(paid)
 	go func() { _ = h.book.Run(ctx) }()
 }
 
@@ -121,18 +58,24 @@
 
 	mu       sync.Mutex
 	paid     Tokens
+	version  int64
 	consumed Tokens
 	refused  int
 }
 
-// setPaid sets what the workspace has paid for, at all gates.
+// setPaid sets what the workspace has paid for, by a new configuration.
 func (w *world) setPaid(paid Tokens) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.paid = paid
-	w.mu.Unlock()
-	for _, h := range w.hosts {
-		h.book.SetPaid(w.paidMap())
-	}
+	w.version++
+}
+
+// claim asks for a part of the balance.
+func (w *world) claim(bound Tokens) Claim {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Claim{Workspace: "ws", Paid: w.paid, Version: w.version, Bound: bound}
 }
 
 // totals returns what was consumed and how many requests were refused.
@@ -158,16 +101,14 @@
 	for i := range hosts {
 		h := &host{
 			name: fmt.Sprintf("h%d", i), clock: &testClock{boot: "b", base: time.Now().Add(-time.Hour)},
-			store: &lossyStore{KV: mem, old: make(map[string]store.Entry), random: rand.New(rand.NewPCG(seed, uint64(i)+2))},
+			store: faultstore.New(mem, seed, uint64(i)+2),
 		}
 		w.hosts = append(w.hosts, h)
-		h.start(t, w.paidMap())
+		h.start(t)
 	}
 	return w
 }
 
-func (w *world) paidMap() map[string]Tokens { return map[string]Tokens{"ws": w.paid} }
-
 // request makes a request at a random host. What it consumes is delivered even if
 // its gate is killed meanwhile: the caller has it.
 func (w *world) request() {
@@ -177,7 +118,7 @@
 	length := time.Duration(w.random.IntN(400)) * time.Millisecond
 	book := h.book
 	go func() {
-		r, err := book.Reserve(w.t.Context(), "ws", bound)
+		r, err := book.Reserve(w.t.Context(), w.claim(bound))
 		if err != nil {
 			w.mu.Lock()
 			w.refused++
@@ -197,21 +138,21 @@
 	case 0: // killed, and back at once or later
 		h.stop()
 		time.Sleep(time.Duration(w.random.IntN(800)) * time.Millisecond)
-		h.start(w.t, w.paidMap())
+		h.start(w.t)
 	case 1: // loss of power: the clock starts elsewhere
 		h.stop()
 		h.clock = &testClock{
 			boot: fmt.Sprint("b", w.random.IntN(1000)),
 			base: time.Now().Add(-time.Duration(w.random.IntN(1000)) * time.Second),
 		}
-		h.start(w.t, w.paidMap())
+		h.start(w.t)
 	case 2:
-		h.store.set(func() { h.store.down = !h.store.down })
+		h.store.Set(func(f *faultstore.Faults) { f.Down = !f.Down })
 	case 3:
 		share, late := w.random.Float64()*0.6, w.random.IntN(2) == 0
-		h.store.set(func() { h.store.lose, h.store.late = share, late })
+		h.store.Set(func(f *faultstore.Faults) { f.Lose, f.Late = share, late })
 	case 4:
-		h.store.set(func() { h.store.lose, h.store.down = 0, false })
+		h.store.Set(func(f *faultstore.Faults) { f.Lose, f.Down = 0, false })
 	case 5:
 		w.setPaid(w.paid + 20_000)
 	case 6: // planned stop
@@ -220,7 +161,7 @@
 		time.Sleep(500 * time.Millisecond) // its requests end
 		_ = h.book.Close(ctx)              // may fail while the store is down
 		cancel()
-		h.start(w.t, w.paidMap())
+		h.start(w.t)
 	}
 }
 
@@ -285,7 +226,7 @@
 		play(6)
 		_, before := w.totals()
 		for _, h := range w.hosts {
-			h.store.set(func() { h.store.down = true })
+			h.store.Set(func(f *faultstore.Faults) { f.Down = true })
 		}
 		play(8)
 		_, after := w.totals()
@@ -313,7 +254,7 @@
 		}
 		time.Sleep(700 * time.Millisecond)
 		for _, h := range w.hosts {
-			h.start(t, w.paidMap())
+			h.start(t)
 		}
 		time.Sleep(closeSpread + time.Second)
 		raw, err := w.hosts[0].store.Get(t.Context(), "a/account/ws")
@@ -343,7 +284,7 @@
 		var refused atomic.Int32
 		for range requests {
 			go func() {
-				r, err := book.Reserve(t.Context(), "ws", bound)
+				r, err := book.Reserve(t.Context(), w.claim(bound))
 				if err != nil {
 					refused.Add(1)
 					return
@@ -381,7 +322,7 @@
 		}
 		time.Sleep(800 * time.Millisecond)
 		for _, h := range w.hosts {
-			h.start(t, w.paidMap())
+			h.start(t)
 		}
 		play(300)
 		time.Sleep(maxWait)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -45,6 +45,9 @@
 	return s, s.rpc.RegisterName(serviceName, calls)
 }
 
+// Register adds the methods of another service, under its name.
+func (s *Server) Register(name string, service any) error { return s.rpc.RegisterName(name, service) }
+
 // Serve accepts gates until the listener is closed, and then closes their
 // connections.
 func (s *Server) Serve(listener net.Listener) error {
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/rpc"
 	"sync"
 	"time"
@@ -42,21 +41,20 @@
 // mutex is a leaf.
 type Store struct {
 	opts    Options
+	peers   *Peers
 	relayed metrics.Counter
 	failed  metrics.Counter
 
 	mu          sync.Mutex
 	directAfter time.Time // when the direct way is tried again
 	indirect    bool
-	clients     map[string]*rpc.Client
-	pausedUntil map[string]time.Time
 	current     string // the relay that helped last
 }
 
 // NewStore returns a store that tries the direct way first.
 func NewStore(o Options) *Store {
 	return &Store{
-		opts: o, clients: make(map[string]*rpc.Client), pausedUntil: make(map[string]time.Time),
+		opts: o, peers: NewPeers(relayPause, DialTCP()),
 		relayed: metrics.GetOrRegisterCounter("monsoon.store.relayed", o.Metrics),
 		failed:  metrics.GetOrRegisterCounter("monsoon.store.relay_failures", o.Metrics),
 	}
@@ -174,7 +172,7 @@
 		if ctx.Err() != nil {
 			return errors.Join(store.ErrUnavailable, ctx.Err())
 		}
-		client, dialErr := s.client(ctx, address)
+		client, dialErr := s.peers.Client(ctx, address)
 		if dialErr != nil {
 			s.pause(address)
 			err = fmt.Errorf("%w: relay %s: %w", store.ErrUnavailable, address, dialErr)
@@ -244,62 +242,31 @@
 	addresses := append([]string(nil), s.opts.Relays()...)
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
+	current := s.current
+	s.mu.Unlock()
 	var chosen []string
-	if s.current != "" && now.After(s.pausedUntil[s.current]) {
-		chosen = append(chosen, s.current)
+	if current != "" && s.peers.Usable(current) {
+		chosen = append(chosen, current)
 	}
 	for _, address := range addresses {
 		if len(chosen) == relayTries {
 			break
 		}
-		if address != s.current && now.After(s.pausedUntil[address]) {
+		if address != current && s.peers.Usable(address) {
 			chosen = append(chosen, address)
 		}
 	}
 	return chosen
 }
 
-// client returns the connection to a relay.
-func (s *Store) client(ctx context.Context, address string) (*rpc.Client, error) {
-	s.mu.Lock()
-	client := s.clients[address]
-	s.mu.Unlock()
-	if client != nil {
-		return client, nil
-	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	client = rpc.NewClient(conn)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if other := s.clients[address]; other != nil {
-		// Another call opened one meanwhile; this one carried nothing.
-		_ = client.Close()
-		return other, nil
-	}
-	s.clients[address] = client
-	return client, nil
-}
-
-// pause leaves a relay alone for a while and closes the connection to it.
+// pause leaves a relay alone that did not help.
 func (s *Store) pause(address string) {
 	s.mu.Lock()
-	client := s.clients[address]
-	delete(s.clients, address)
-	s.pausedUntil[address] = time.Now().Add(relayPause)
 	if s.current == address {
 		s.current = ""
 	}
 	s.mu.Unlock()
-	if client != nil {
-		// Calls in progress on it fail and go another way.
-		_ = client.Close()
-	}
+	s.peers.Pause(address)
 }
 
 // call makes one call over a relay. If the relay does not answer, it is not known
