Keep the list of relays, and call a process that has shares a holder

Cause: a reservation sorted all relays and parsed all servers' addresses; at 2,100 relays that grows with the fleet for each request. The texts of prepaid spoke of gates, which no longer have the shares.

Comments and refusals say holder. No behaviour changes.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,10 @@
 	s settings.Settings
 	// changeable holds the settings after a reload.
 	changeable atomic.Pointer[settings.Settings]
+	// relays are the addresses of the relays; findRelays writes them under relaysMutex,
+	// so that the newest servers and configuration count.
+	relaysMutex sync.Mutex
+	relays      atomic.Pointer[[]string]
 
 	log      *slog.Logger
 	registry metrics.Registry
@@ -80,11 +85,11 @@
 	d.pool = upstream.NewPool(&crowd.Dialer{Dialer: net.Dialer{KeepAlive: -1}, Meter: d.crowd}, registry)
 	st := relay.NewStore(relay.Options{
 		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
-		Relays: d.relays, Log: log, Metrics: registry,
+		Relays: d.knownRelays, Log: log, Metrics: registry,
 	})
 	d.book = newBook(s.Name, hex.EncodeToString(start[:4]), st, registry, log)
 	d.budgets = reserve.NewClient(reserve.Options{
-		Gate: d.book.Holder(), Holders: d.relays, Dial: relay.DialTCP(), Own: d.book, Log: log, Metrics: registry,
+		Gate: d.book.Holder(), Holders: d.knownRelays, Dial: relay.DialTCP(), Own: d.book, Log: log, Metrics: registry,
 	})
 	percent, floor := retryBounds(s.Gate)
 	d.gate = gate.New(gate.Options{
@@ -132,6 +137,7 @@
 	}
 	d.gate.SetCatalog(next)
 	d.front.SetLimits(next.Limits)
+	d.findRelays()
 	d.log.Info("configuration in force", "version", next.Version, "revision", entry.ModRevision)
 }
 
@@ -151,18 +157,21 @@
 		d.log.Info("server "+change.Kind, "server", change.Entry.ID, "service", change.Entry.Service,
 			"address", change.Entry.Address, "domain", change.Entry.Domain, "revision", change.Entry.Revision)
 	}
+	d.findRelays()
 }
 
-// relays returns the addresses of the relays, which stand beside backend servers
-// with engines.
-func (d *Gate) relays() []string {
+// findRelays notes the addresses of the relays, which stand beside backend servers
+// with engines. It is called when servers, their services or the relays' port change.
+func (d *Gate) findRelays() {
+	d.relaysMutex.Lock()
+	defer d.relaysMutex.Unlock()
 	c := d.gate.Catalog()
 	port := uint16(d.changeable.Load().Gate.RelayPort)
-	if c == nil || port == 0 {
-		return nil
-	}
 	var addresses []string
 	for _, s := range d.servers.All() {
+		if c == nil || port == 0 {
+			break
+		}
 		service := c.Service(s.Service)
 		address, err := netip.ParseAddrPort(s.Address)
 		if err != nil || service == nil || service.Engine == nil {
@@ -170,7 +179,15 @@
 		}
 		addresses = append(addresses, netip.AddrPortFrom(address.Addr(), port).String())
 	}
-	return addresses
+	d.relays.Store(&addresses)
+}
+
+// knownRelays returns the addresses of the relays. The slice must not be changed.
+func (d *Gate) knownRelays() []string {
+	if relays := d.relays.Load(); relays != nil {
+		return *relays
+	}
+	return nil
 }
 
 // Run runs the gate until ctx ends.
@@ -231,6 +248,7 @@
 func (d *Gate) Reload(s settings.Settings) bool {
 	d.gate.SetRetries(retryBounds(s.Gate))
 	d.changeable.Store(&s)
+	d.findRelays()
 	rest := s
 	before := d.s
 	rest.DrainTimeout, before.DrainTimeout = 0, 0
--- a/internal/prepaid/account.go
+++ b/internal/prepaid/account.go
@@ -1,11 +1,11 @@
 // Package prepaid keeps workspaces from spending more than they paid for. Each
-// workspace has one account record in the store. A gate may spend up to the limit
+// workspace has one account record in the store. A holder may spend up to the limit
 // of its share in the record; the sum of all limits never exceeds what was paid,
-// so no gate needs another one, or the store, to admit a request. Shares move only
+// so no holder needs another one, or the store, to admit a request. Shares move only
 // by compare-and-swap.
 //
-// Besides, each gate keeps one statement in the store: what it has spent, and what
-// it will spend at most over the time that follows. When a gate ends without giving
+// Besides, each holder keeps one statement in the store: what it has spent, and what
+// it will spend at most over the time that follows. When a holder ends without giving
 // back its shares, the next process of its host takes back what the one before
 // cannot have spent; the rest counts as spent.
 package prepaid
@@ -29,11 +29,11 @@
 // ErrDamaged means that an account record cannot be read. Nothing overwrites it.
 var ErrDamaged = merry.New("account record is damaged")
 
-// Share is a gate's part of an account.
+// Share is a holder's part of an account.
 type Share struct {
-	// Holder names the gate's process: its host and the number of its start.
+	// Holder names the holder's process: its host and the number of its start.
 	Holder string `json:"holder"`
-	// Limit is what the gate may spend in all.
+	// Limit is what the holder may spend in all.
 	Limit Tokens `json:"limit"`
 	// Spent is what it had spent when it wrote the record.
 	Spent Tokens `json:"spent"`
@@ -46,7 +46,7 @@
 // Account is the record of a workspace.
 type Account struct {
 	Version int `json:"v"`
-	// Closed is what ended gates may have spent, and ClosedSpent what they are
+	// Closed is what ended holders may have spent, and ClosedSpent what they are
 	// known to have spent.
 	Closed      Tokens  `json:"closed"`
 	ClosedSpent Tokens  `json:"closed_spent"`
@@ -116,7 +116,7 @@
 	return total
 }
 
-// reservedByOthers returns what requests at other gates held when these wrote.
+// reservedByOthers returns what requests at other holders held when these wrote.
 func (a *Account) reservedByOthers(holder string) Tokens {
 	total := Tokens(0)
 	for _, s := range a.Shares {
@@ -169,7 +169,7 @@
 // holderSeparator stands between host and start in a holder's name.
 const holderSeparator = "/"
 
-// HolderName names a gate's process.
+// HolderName names a holder's process.
 func HolderName(host, start string) string { return host + holderSeparator + start }
 
 // hostOf returns the host of a holder.
--- a/internal/prepaid/bench_test.go
+++ b/internal/prepaid/bench_test.go
@@ -29,10 +29,10 @@
 }
 
 // BenchmarkAccount measures the reading, planning and writing of an account by the
-// number of gates that share it, and reports its size.
+// number of holders that share it, and reports its size.
 func BenchmarkAccount(b *testing.B) {
 	for _, n := range []int{5, 28, 390} {
-		b.Run(fmt.Sprintf("gates=%d", n), func(b *testing.B) {
+		b.Run(fmt.Sprintf("holders=%d", n), func(b *testing.B) {
 			a := Account{Version: 1}
 			for i := range n {
 				a.Shares = append(a.Shares, Share{Holder: fmt.Sprintf("edge-%d/0a1b2c3d", i), Limit: 1 << 22, Spent: 1 << 21, Demand: 1 << 14})
--- a/internal/prepaid/book.go
+++ b/internal/prepaid/book.go
@@ -26,7 +26,7 @@
 	stateInterval = 1500 * time.Millisecond
 	// idleAfter is the time without requests after which a share is given back.
 	idleAfter = 4 * time.Second
-	// surplus is the demand that a share covers from which a gate looks whether it
+	// surplus is the demand that a share covers from which a holder looks whether it
 	// should give some back, and minSurplus the tokens that it keeps in any case.
 	surplus    = 24 * time.Second
 	minSurplus = 30000
@@ -38,7 +38,7 @@
 	// condition and a write, and so does the statement.
 	accountsPerTxn = 14
 	// conflictTries is how often a transaction is tried again at once after another
-	// gate changed an account.
+	// holder changed an account.
 	conflictTries = 6
 	// refreshAge is the age from which an account is read before it is changed, and
 	// refreshAccounts the number of accounts up to which that costs less than a
@@ -50,10 +50,10 @@
 	closeSpread = 3 * time.Second
 	// waitStep is how often a request that waits looks again.
 	waitStep = 25 * time.Millisecond
-	// conflictPause bounds the random pause after a conflict, which keeps gates that
+	// conflictPause bounds the random pause after a conflict, which keeps holders that
 	// met from meeting again.
 	conflictPause = 8 * time.Millisecond
-	// maxWait is how long a request waits for its gate's share to grow.
+	// maxWait is how long a request waits for its holder's share to grow.
 	maxWait = 250 * time.Millisecond
 	// minBackoff and maxBackoff bound the pause after a failed exchange.
 	minBackoff = 50 * time.Millisecond
@@ -62,7 +62,7 @@
 	// is not asked again for others. The time doubles while the account stays short.
 	minShort = 500 * time.Millisecond
 	maxShort = 6 * time.Second
-	// retryUnreached is the Retry-After of a request that the gate's share does not
+	// retryUnreached is the Retry-After of a request that the holder's share does not
 	// cover, though the workspace's balance may.
 	retryUnreached = 500 * time.Millisecond
 )
@@ -235,7 +235,7 @@
 	case <-again.C:
 		return nil
 	case <-timeout:
-		return unreached("the gate's share does not cover the request")
+		return unreached("the holder's share does not cover the request")
 	case <-ctx.Done():
 		return verdict.New(verdict.NotRun, verdict.CodeCanceled, "the caller disconnected")
 	}
@@ -256,10 +256,10 @@
 	}
 	if l.synced.After(began) && l.paid-l.account.limits() < bound {
 		l.noteShort(bound)
-		return unreached("other gates hold what is left of the balance: " + l.describe(now))
+		return unreached("other holders hold what is left of the balance: " + l.describe(now))
 	}
 	if began.Before(l.shortUntil) {
-		err := unreached("other gates held what is left of the balance a moment ago: " + l.describe(now))
+		err := unreached("other holders held what is left of the balance a moment ago: " + l.describe(now))
 		err.RetryAfter = max(err.RetryAfter, l.shortUntil.Sub(began))
 		return err
 	}
@@ -286,7 +286,7 @@
 // describe gives the amounts that decide about a request, for logs.
 func (l *ledger) describe(now Instant) string {
 	others := l.account.limits() - l.account.Closed - l.account.share(l.share.Holder).Limit
-	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended gates %d of which spent %d, account read %s",
+	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended holders %d of which spent %d, account read %s",
 		l.paid, l.spent, l.reserved, l.limit(), l.usable(now), others, l.account.Closed, l.account.ClosedSpent, l.readAge())
 }
 
@@ -336,7 +336,7 @@
 	return batches
 }
 
-// planEnd ends the gate's own share with what it spent.
+// planEnd ends the holder's own share with what it spent.
 func (b *Book) planEnd(l *ledger) Account {
 	next := l.account
 	next.Shares = append([]Share(nil), l.account.Shares...)
--- a/internal/prepaid/exchange.go
+++ b/internal/prepaid/exchange.go
@@ -146,7 +146,7 @@
 }
 
 // exchange writes the statement and the planned accounts in one transaction.
-// Another gate's change of an account is learned and the plan made again.
+// Another holder's change of an account is learned and the plan made again.
 func (b *Book) exchange(ctx context.Context, batch []*ledger, plan planner) error {
 	began := time.Now()
 	b.refresh(ctx, batch)
--- a/internal/prepaid/ledger.go
+++ b/internal/prepaid/ledger.go
@@ -28,7 +28,7 @@
 	last *Statement
 }
 
-// ledger is a gate's part of one workspace's account. It is used under the mutex
+// ledger is a holder's part of one workspace's account. It is used under the mutex
 // of its Book.
 type ledger struct {
 	workspace string
@@ -77,7 +77,7 @@
 	l.paid, l.paidVersion = paid, version
 }
 
-// usable returns what the gate may have spent in all by now, whatever became of
+// usable returns what the holder may have spent in all by now, whatever became of
 // writes whose answers were lost.
 func (l *ledger) usable(now Instant) Tokens {
 	usable := l.limit()
@@ -89,7 +89,7 @@
 	return usable
 }
 
-// limit returns what the gate may spend without writing again, however long it
+// limit returns what the holder may spend without writing again, however long it
 // takes.
 func (l *ledger) limit() Tokens {
 	limit := l.share.Limit
@@ -138,10 +138,10 @@
 	return 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
 }
 
-// demand returns what the gate's requests reserve, in tokens a second.
+// demand returns what the holder's requests reserve, in tokens a second.
 func (l *ledger) demand() float64 { return max(l.fast, l.slow) }
 
-// position returns the gate's view for the plan.
+// position returns the holder's view for the plan.
 func (l *ledger) position(self identity) position {
 	return position{
 		holder: self.holder, workspace: l.workspace, start: self.start, last: self.last,
@@ -194,7 +194,7 @@
 	}
 	unused := l.limit() - l.spent - l.reserved
 	if now.Sub(l.synced) >= maxSyncInterval && unused > minSurplus && float64(unused) > l.demand()*surplus.Seconds() {
-		// Other gates may be short of what this one does not need.
+		// Other holders may be short of what this one does not need.
 		return true
 	}
 	return unused < (l.share.Limit-l.share.Spent)*drawPercent/100
--- a/internal/prepaid/plan.go
+++ b/internal/prepaid/plan.go
@@ -2,30 +2,30 @@
 
 import "time"
 
-// Policy holds the figures by which a gate sizes its share.
+// Policy holds the figures by which a holder sizes its share.
 type Policy struct {
-	// Horizon is the demand that a share covers, so that a gate goes on without the
+	// Horizon is the demand that a share covers, so that a holder goes on without the
 	// store for that long.
 	Horizon time.Duration
-	// FirstShare is the part of what was paid that a gate takes before it knows its
+	// FirstShare is the part of what was paid that a holder takes before it knows its
 	// demand, as one in FirstShare.
 	FirstShare Tokens
-	// MinWindow is what a gate with any demand should be able to spend, a few
+	// MinWindow is what a holder with any demand should be able to spend, a few
 	// requests.
 	MinWindow Tokens
-	// LargestPart bounds a share's window to one in LargestPart of its gate's part of
+	// LargestPart bounds a share's window to one in LargestPart of its holder's part of
 	// what is left.
 	LargestPart Tokens
-	// BurstTime is the demand that a gate may spend at once after it wrote its
+	// BurstTime is the demand that a holder may spend at once after it wrote its
 	// statement, and RatePercent what it may spend over time, in percent of its demand.
 	BurstTime   time.Duration
 	RatePercent Tokens
-	// MinBurst and MinRate let a gate with little demand serve a large request.
+	// MinBurst and MinRate let a holder with little demand serve a large request.
 	MinBurst Tokens
 	MinRate  Tokens
 }
 
-// DefaultPolicy returns the figures for gates that must bear an outage of the store
+// DefaultPolicy returns the figures for holders that must bear an outage of the store
 // of some seconds, and requests of up to some ten thousand tokens.
 func DefaultPolicy() Policy {
 	return Policy{
@@ -34,10 +34,10 @@
 	}
 }
 
-// position is a gate's own view of its share.
+// position is a holder's own view of its share.
 type position struct {
 	holder, workspace string
-	// start is when the gate's process started, and last the statement of the
+	// start is when the holder's process started, and last the statement of the
 	// process before it on the same host.
 	start Instant
 	last  *Statement
@@ -50,7 +50,7 @@
 	wanted Tokens
 }
 
-// plan returns the account with the share that the gate should have, given what
+// plan returns the account with the share that the holder should have, given what
 // the workspace paid.
 func (p Policy) plan(a Account, self position, paid Tokens) Account {
 	next := a
@@ -74,14 +74,14 @@
 }
 
 // plentyParts is the part of what was paid, as one in plentyParts, above which what
-// nobody has is plenty, and no gate gives any back.
+// nobody has is plenty, and no holder that is asked gives any back.
 const plentyParts = 8
 
-// freeParts bounds what a gate takes at once to one in freeParts of what nobody has,
-// so that after many gates took some there is some left for others.
+// freeParts bounds what a holder takes at once to one in freeParts of what nobody has,
+// so that after many holders took some there is some left for others.
 const freeParts = 6
 
-// window returns how much more than it has spent and reserved a gate should be able
+// window returns how much more than it has spent and reserved a holder should be able
 // to spend: its demand over the horizon, but only a part of what would be its own if what is
 // left were divided by demand. So shares are large while there is plenty, and little
 // is out of reach when it runs out.
@@ -99,7 +99,7 @@
 	return max(window, p.least(self, left), self.wanted)
 }
 
-// least returns the window of a gate whose part of the demand is small.
+// least returns the window of a holder whose part of the demand is small.
 func (p Policy) least(self position, left Tokens) Tokens {
 	if self.demand == 0 {
 		return 0
@@ -107,11 +107,11 @@
 	return min(p.MinWindow, left/leastParts)
 }
 
-// leastParts bounds the windows of gates with little demand to one in leastParts of
+// leastParts bounds the windows of holders with little demand to one in leastParts of
 // what is left each.
 const leastParts = 48
 
-// row returns what the gate states: what it may spend over time until it writes
+// row returns what the holder states: what it may spend over time until it writes
 // again.
 func (p Policy) row(self position) Row {
 	burst := max(self.demand*p.BurstTime.Milliseconds()/1000, p.MinBurst)
@@ -122,12 +122,12 @@
 }
 
 // restParts is the part of what was paid, as one in restParts, below which a rest
-// that nobody has free counts as used up: it lies in small pieces at several gates,
-// or with gates that ended. Callers are owed 97 in 100.
+// that nobody has free counts as used up: it lies in small pieces at several holders,
+// or with holders that ended. Callers are owed 97 in 100.
 const restParts = 33
 
 // mayCover reports whether what is left of paid may cover an amount. What other
-// gates have spent since they wrote the record is not known, so true is no proof.
+// holders have spent since they wrote the record is not known, so true is no proof.
 func (a *Account) mayCover(self position, paid, amount Tokens) bool {
 	known := a.spent() - a.share(self.holder).Spent + self.spent
 	held := known + a.reservedByOthers(self.holder) + self.reserved
--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -29,7 +29,7 @@
 	return Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
 }
 
-// host is a gate's host in the simulation.
+// host is a holder's host in the simulation.
 type host struct {
 	name  string
 	clock *testClock
@@ -110,7 +110,7 @@
 }
 
 // request makes a request at a random host. What it consumes is delivered even if
-// its gate is killed meanwhile: the caller has it.
+// its holder is killed meanwhile: the caller has it.
 func (w *world) request() {
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	bound := Tokens(500 + w.random.IntN(6000))
@@ -210,7 +210,7 @@
 	}
 }
 
-// Plays a cut of all gates from the store for 8 s while a tenth of the budget is
+// Plays a cut of all holders from the store for 8 s while a tenth of the budget is
 // spent: callers notice nothing.
 func TestShareBearsAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -238,7 +238,7 @@
 	})
 }
 
-// Plays the kill of all gates: their successors take back what cannot have been
+// Plays the kill of all holders: their successors take back what cannot have been
 // spent since the last write.
 func TestSuccessorTakesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -272,7 +272,7 @@
 	})
 }
 
-// Plays a workspace whose callers are all at one gate and whose requests reserve
+// Plays a workspace whose callers are all at one holder and whose requests reserve
 // much more than they use, for long: nothing is refused while the balance lasts.
 func TestOneGateUsesTheWholeBalance(t *testing.T) {
 	const paid, bound, used, requests = 3_000_000, 6000, 1500, 700
@@ -303,7 +303,7 @@
 	})
 }
 
-// Plays the restart of a whole fleet of 40 gates whose callers all come back at
+// Plays the restart of a whole fleet of 40 holders whose callers all come back at
 // once to one workspace: 1.5 s later nobody is refused any more.
 func TestFleetRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/prepaid/record_test.go
+++ b/internal/prepaid/record_test.go
@@ -35,7 +35,7 @@
 }
 
 // Guards against a plan whose limits exceed what was paid, or that takes from a
-// share of another gate.
+// share of another holder.
 func TestPlanKeepsWithinPaid(t *testing.T) {
 	c := qt.New(t)
 	others := []Share{{Holder: "a/1", Limit: 600, Spent: 10, Demand: 50}, {Holder: "b/1", Limit: 300, Spent: 10, Demand: 50}}
--- a/internal/prepaid/statement.go
+++ b/internal/prepaid/statement.go
@@ -7,18 +7,18 @@
 	"github.com/ansel1/merry/v2"
 )
 
-// Statement is the record of one gate: what it has spent of each budget, and what
-// it will spend at most until it writes the next one. Only the gate writes it.
+// Statement is the record of one holder: what it has spent of each budget, and what
+// it will spend at most until it writes the next one. Only the holder writes it.
 type Statement struct {
 	Version int    `json:"v"`
 	Holder  string `json:"holder"`
-	// At is when the gate made the statement, by its host's clock.
+	// At is when the holder made the statement, by its host's clock.
 	At Instant `json:"at"`
 	// Rows are by workspace.
 	Rows map[string]Row `json:"rows"`
 }
 
-// Row is a gate's statement about one workspace.
+// Row is a holder's statement about one workspace.
 type Row struct {
 	Spent Tokens `json:"spent"`
 	// Burst may be spent at once, and Rate tokens a second besides.
@@ -26,7 +26,7 @@
 	Rate  Tokens `json:"rate"`
 }
 
-// most returns what the gate may have spent d after the statement.
+// most returns what the holder may have spent d after the statement.
 func (r Row) most(d time.Duration) Tokens {
 	return r.Spent + r.Burst + Tokens(float64(r.Rate)*d.Seconds())
 }
@@ -48,7 +48,7 @@
 	return &s, nil
 }
 
-// bounds returns what the gate of a share can have spent at most when the next
+// bounds returns what the holder of a share can have spent at most when the next
 // process of its host started, and what it has spent at least. Without a statement
 // or a common clock the limit is the most.
 func (s *Statement) bounds(share Share, workspace string, start Instant) (most, least Tokens) {
