--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -15,7 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/monsoonworks/monsoonworks/internal/store/faultstore"
+	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 )
 
@@ -33,7 +33,7 @@
 type host struct {
 	name  string
 	clock *testClock
-	store *faultstore.Store
+	store *lossystore.Store
 	book  *Book
 	stop  context.CancelFunc
 	boots int
@@ -101,7 +101,7 @@
 	for i := range hosts {
 		h := &host{
 			name: fmt.Sprintf("h%d", i), clock: &testClock{boot: "b", base: time.Now().Add(-time.Hour)},
-			store: faultstore.New(mem, seed, uint64(i)+2),
+			store: lossystore.New(mem, seed, uint64(i)+2),
 		}
 		w.hosts = append(w.hosts, h)
 		h.start(t)
@@ -147,12 +147,12 @@
 		}
 		h.start(w.t)
 	case 2:
-		h.store.Set(func(f *faultstore.Faults) { f.Down = !f.Down })
+		h.store.Set(func(f *lossystore.Faults) { f.Down = !f.Down })
 	case 3:
 		share, late := w.random.Float64()*0.6, w.random.IntN(2) == 0
-		h.store.Set(func(f *faultstore.Faults) { f.Lose, f.Late = share, late })
+		h.store.Set(func(f *lossystore.Faults) { f.Lose, f.Late = share, late })
 	case 4:
-		h.store.Set(func(f *faultstore.Faults) { f.Lose, f.Down = 0, false })
+		h.store.Set(func(f *lossystore.Faults) { f.Lose, f.Down = 0, false })
 	case 5:
 		w.setPaid(w.paid + 20_000)
 	case 6: // planned stop
@@ -226,7 +226,7 @@
 		play(6)
 		_, before := w.totals()
 		for _, h := range w.hosts {
-			h.store.Set(func(f *faultstore.Faults) { f.Down = true })
+			h.store.Set(func(f *lossystore.Faults) { f.Down = true })
 		}
 		play(8)
 		_, after := w.totals()
--- a/internal/reserve/world_test.go
+++ b/internal/reserve/world_test.go
@@ -16,7 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
-	"github.com/monsoonworks/monsoonworks/internal/store/faultstore"
+	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 )
 
@@ -39,7 +39,7 @@
 type machine struct {
 	name  string
 	clock *testClock
-	store *faultstore.Store
+	store *lossystore.Store
 	book  *prepaid.Book
 	boots int
 	stop  context.CancelFunc
@@ -159,7 +159,7 @@
 	newMachine := func(name string, i int) machine {
 		return machine{
 			name: name, clock: &testClock{boot: "b", base: time.Now().Add(-time.Hour)},
-			store: faultstore.New(mem, seed, uint64(i)+2),
+			store: lossystore.New(mem, seed, uint64(i)+2),
 		}
 	}
 	for i := range holders {
--- a/internal/store/faultstore/faultstore.go
+++ b/internal/store/lossystore/lossystore.go
@@ -1,6 +1,7 @@
-// Package faultstore is a store for tests that is slow, down, loses answers, does
-// writes late and gives stale reads.
-package faultstore
+// Package lossystore is a store for tests that is slow, down, loses answers, does
+// writes late and gives stale reads, by a seed. For faults that a test sets one by
+// one see devel/standin/faultstore.
+package lossystore
 
 import (
 	"context"
