Mend data races in two tests' worlds

The race was in the test only. The worlds of reserve and prepaid start their goroutines with local variables now; both packages pass three times with the race detector beside other work. No assertion changes.

--- a/internal/prepaid/random_test.go
+++ b/internal/prepaid/random_test.go
@@ -43,11 +43,12 @@
 	h.boots++
 	ctx, cancel := context.WithCancel(t.Context())
 	h.stop = cancel
-	h.book = NewBook(Options{
+	book := NewBook(Options{
 		Holder: HolderName(h.name, fmt.Sprint(h.boots)), Prefix: "a/", Clock: h.clock, Store: h.store,
 		Policy: DefaultPolicy(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry(),
 	})
-	go func() { _ = h.book.Run(ctx) }()
+	h.book = book
+	go func() { _ = book.Run(ctx) }()
 }
 
 // world is a deployment with one workspace, and what its requests consumed.
--- a/internal/reserve/world_test.go
+++ b/internal/reserve/world_test.go
@@ -49,11 +49,12 @@
 	m.boots++
 	ctx, cancel := context.WithCancel(t.Context())
 	m.stop = cancel
-	m.book = prepaid.NewBook(prepaid.Options{
+	book := prepaid.NewBook(prepaid.Options{
 		Holder: prepaid.HolderName(m.name, fmt.Sprint(m.boots)), Prefix: "a/", Clock: m.clock, Store: m.store,
 		Policy: prepaid.DefaultPolicy(), Log: quiet, Metrics: metrics.NewRegistry(),
 	})
-	go func() { _ = m.book.Run(ctx) }()
+	m.book = book
+	go func() { _ = book.Run(ctx) }()
 	return ctx
 }
 
@@ -71,14 +72,13 @@
 
 func (h *holder) start(t *testing.T) {
 	ctx := h.boot(t)
-	h.server = NewServer(ctx, h.book, metrics.NewRegistry(), quiet)
-	h.rpc = rpc.NewServer()
-	if err := h.rpc.RegisterName(ServiceName, h.server); err != nil {
+	server, calls := NewServer(ctx, h.book, metrics.NewRegistry(), quiet), rpc.NewServer()
+	if err := calls.RegisterName(ServiceName, server); err != nil {
 		t.Fatal(err)
 	}
-	go func() { _ = h.server.Run(ctx) }()
+	go func() { _ = server.Run(ctx) }()
 	h.mu.Lock()
-	h.dead = false
+	h.server, h.rpc, h.dead = server, calls, false
 	h.mu.Unlock()
 }
 
@@ -132,10 +132,11 @@
 
 func (g *gateway) start(t *testing.T, w *world) {
 	ctx := g.boot(t)
-	g.client = NewClient(Options{
+	client := NewClient(Options{
 		Gate: g.book.Holder(), Holders: w.addresses, Dial: w.dial, Own: g.book, Log: quiet, Metrics: metrics.NewRegistry(),
 	})
-	go func() { _ = g.client.Run(ctx) }()
+	g.client = client
+	go func() { _ = client.Run(ctx) }()
 }
 
 // world is a deployment with one workspace, and what its callers got.
