Do not count callers that left as refused in a test

One caller in twenty of that world leaves within 30 ms; one that left while a share was drawn counted as refused. TestNextHolderTakesOver is stricter: none is refused when a holder is killed or silent, instead of fewer than 20.

--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -135,7 +135,7 @@
 				play()
 				time.Sleep(time.Second)
 				_, after, slowest := w.totals()
-				c.Assert(after-before < 20, qt.IsTrue, qt.Commentf("%d refused", after-before)) // callers that left
+				c.Assert(after, qt.Equals, before)
 				c.Assert(slowest < 2*askTimeout, qt.IsTrue, qt.Commentf("%v", slowest))
 				w.end()
 			})
--- a/internal/reserve/world_test.go
+++ b/internal/reserve/world_test.go
@@ -18,6 +18,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
 var (
@@ -151,6 +152,7 @@
 	version  int64
 	consumed prepaid.Tokens
 	refused  int
+	left     int // callers that left before the decision
 	slowest  time.Duration
 }
 
@@ -251,7 +253,9 @@
 		r, err := client.Reserve(ctx, w.claim(bound))
 		w.mu.Lock()
 		w.slowest = max(w.slowest, time.Since(began))
-		if err != nil {
+		if err != nil && verdict.CodeOf(err) == verdict.CodeCanceled {
+			w.left++
+		} else if err != nil {
 			w.refused++
 		}
 		w.mu.Unlock()
