Bound what servers, the store, relays and callers can send

Cause: the head of a server's response had no bound (256 MB sent as one header line took 1 GB of heap), nor had listings of the store; a body of over 16 MiB was cut and relayed as complete; bodies counted against the memory limit only after they were read; gob accepts messages of a gigabyte; a refusal body of over 16 MiB left its rest on a pooled connection. Change: heads end after 32 KiB, discarded bodies after 64 KiB; bodies and stream events reserve memory before they are buffered; larger bodies fail and are not cut. Idle connections with unrequested bytes are closed within a second. A refusal without an ID does not count on a reused connection, and its connection is not used again. Only whole events extend a stream's stall timeout; a drain accepts the connections in the backlog; a 400 marked not-run is not charged. A panic in an RPC method does not end the process.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -46,9 +46,9 @@
 	// retrySlackDivisor divides the configured retry slack, which is for all gates together,
 	// into the slack of one gate.
 	retrySlackDivisor = 10
-	// bodyMemoryDivisor divides the gate's memory into the limit on buffered request
-	// bodies.
-	bodyMemoryDivisor = 5
+	// bufferMemoryDivisor divides the gate's memory into the limit on buffered bodies and
+	// events.
+	bufferMemoryDivisor = 16
 )
 
 // Gate is a gate process.
@@ -97,8 +97,8 @@
 		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
 		Servers: g.servers, Reserver: g.reservations, Pool: g.pool, Protocol: platform.Protocol{}, Policy: placement.DefaultPolicy(),
 		RetryPercent: percent, MinRetries: minRetries,
-		MaxBufferedBodyBytes: int64(s.Gate.MemoryMB) << 20 / bodyMemoryDivisor,
-		Overload:             g.overload, Log: log, Metrics: registry,
+		MaxBufferedBytes: int64(s.Gate.MemoryMB) << 20 / bufferMemoryDivisor,
+		Overload:         g.overload, Log: log, Metrics: registry,
 	})
 	g.configMirror = mirror.New(mirror.Options{Prefix: platform.ConfigPrefix, Store: st, OnChange: g.applyConfig, Log: log})
 	g.serverMirror = mirror.New(mirror.Options{
@@ -194,7 +194,7 @@
 
 // Run runs the gate until ctx ends. It returns the first error of a component.
 func (g *Gate) Run(ctx context.Context) error {
-	server := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: time.Second}
+	server := newProbeServer(http.HandlerFunc(g.serveReady))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.configMirror.Run(ctx) })
 	group.Go(func() error { return g.serverMirror.Run(ctx) })
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -146,10 +146,27 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", telemetry.MetricsHandler(registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := newProbeServer(mux)
 	return ignoreServerClosed(runUntil(ctx, func() error { return server.Serve(listener) }, func() { _ = server.Close() }))
 }
 
+const (
+	// probeTimeout limits reading and answering one request for metrics or readiness.
+	probeTimeout = 5 * time.Second
+	// probeIdleTimeout is longer than the usual interval between scrapes of the metrics.
+	probeIdleTimeout = 2 * time.Minute
+	// maxProbeHeaderBytes limits the head of such a request.
+	maxProbeHeaderBytes = 8 << 10
+)
+
+// newProbeServer returns a server for metrics or readiness checks.
+func newProbeServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadTimeout: probeTimeout, WriteTimeout: probeTimeout,
+		IdleTimeout: probeIdleTimeout, MaxHeaderBytes: maxProbeHeaderBytes,
+	}
+}
+
 func ignoreServerClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -25,9 +25,11 @@
 	// maxMismatchedResponses is how many responses to other requests are skipped on a
 	// connection before it is closed.
 	maxMismatchedResponses = 2
-	// maxResponseBytes limits how much of a response body is buffered or discarded. The
-	// rest is not read.
+	// maxResponseBytes limits a buffered response body.
 	maxResponseBytes = 16 << 20
+	// maxDiscardedBytes limits the body of a response that is discarded so that its
+	// connection can be used further.
+	maxDiscardedBytes = 64 << 10
 	// connectionDivisor limits one gate to 1/connectionDivisor of the MaxConnections of
 	// each server of a service, because all gates share them.
 	connectionDivisor = 3
@@ -249,7 +251,7 @@
 			return p.connectionLost(err)
 		}
 		info := p.gate.opts.Protocol.ParseResponse(response.Header)
-		if p.isMismatched(info, response) {
+		if p.isMismatched(info, response, conn.Reused()) {
 			p.gate.stats.mismatchedResponses.Inc(1)
 			if !drainBody(response) {
 				break
@@ -267,23 +269,25 @@
 
 // isMismatched reports whether a response belongs to another request. A response
 // without an ID counts as such, unless it is a refusal: a server that refuses a
-// request may omit the ID.
-func (p *proxyRequest) isMismatched(info ResponseInfo, response *http.Response) bool {
-	if info.ID == p.requestInfo.ID {
-		return false
+// request may omit the ID. On a reused connection such a refusal can be a second copy
+// of an earlier one, so there it counts as mismatched, too.
+func (p *proxyRequest) isMismatched(info ResponseInfo, response *http.Response, reused bool) bool {
+	if info.ID != "" {
+		return info.ID != p.requestInfo.ID
 	}
-	return info.ID != "" || !info.NotRun && response.StatusCode != http.StatusMisdirectedRequest
+	refused := info.NotRun || response.StatusCode == http.StatusMisdirectedRequest
+	return reused || p.requestInfo.ID != "" && !refused
 }
 
 // drainBody discards the body of a response. It reports false if no further response
 // can follow on the connection: the server closes it after this response, or the body
-// cannot be read.
+// is too large or cannot be read.
 func drainBody(response *http.Response) bool {
-	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if response.Close || response.ContentLength > maxDiscardedBytes || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 		return false
 	}
-	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes))
-	return err == nil
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDiscardedBytes+1))
+	return err == nil && n <= maxDiscardedBytes
 }
 
 // firstByteDeadline returns when to stop waiting for the first byte of a response:
@@ -309,6 +313,8 @@
 	switch {
 	case p.r.Context().Err() != nil:
 		out.result = fleet.Canceled
+	case errors.Is(err, errMemoryUsedUp):
+		out.result = fleet.Canceled // the server did not fail
 	case errors.As(err, &netErr) && netErr.Timeout():
 		out.result = fleet.TimedOut
 		if time.Until(p.deadline) < minRemaining {
@@ -328,8 +334,10 @@
 		conn.Discard()
 		return outcome{result: fleet.Misdirected, verdict: verdict.NotRun, code: verdict.CodeNoServer}
 	case info.NotRun && status != http.StatusBadRequest:
-		complete := drainBody(response)
-		conn.Release(response, complete, info.IdleTimeout)
+		// Without an ID, a second copy of the refusal could not be told from the response to
+		// the next request on the connection.
+		reusable := info.ID != "" && drainBody(response)
+		conn.Release(response, reusable, info.IdleTimeout)
 		return outcome{result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
 		conn.Discard()
@@ -360,8 +368,8 @@
 		conn.Discard()
 		return p.connectionLost(err)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
-	conn.Release(response, err == nil, info.IdleTimeout)
+	body, err := readBounded(response.Body, response.ContentLength, maxResponseBytes, &p.memory)
+	conn.Release(response, err == nil && info.ID != "", info.IdleTimeout)
 	if err != nil {
 		return p.connectionLost(err)
 	}
@@ -376,7 +384,11 @@
 		return outcome{result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError}
 	}
 	p.writeResponse(response, body)
-	return outcome{done: true, result: fleet.Answered, verdict: verdict.Ran}
+	ran := verdict.Ran
+	if info.NotRun {
+		ran = verdict.NotRun
+	}
+	return outcome{done: true, result: fleet.Answered, verdict: ran}
 }
 
 // writeResponse sends a buffered server response to the caller.
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -175,7 +175,7 @@
 	f.gate = New(Options{
 		Domain: "d0", Region: "r", Regions: map[string]string{"d0": "r"}, Servers: f.table, Reserver: f.reserver,
 		Pool: upstream.NewPool(nil, registry), Protocol: testProtocol{}, Policy: placement.DefaultPolicy(),
-		RetryPercent: 50, MinRetries: 20, MaxBufferedBodyBytes: 1 << 20, Overload: neverOverloaded{}, Log: log, Metrics: registry,
+		RetryPercent: 50, MinRetries: 20, MaxBufferedBytes: 1 << 20, Overload: neverOverloaded{}, Log: log, Metrics: registry,
 	})
 	f.gate.SetCatalog(testCatalog(1, testRoutes()))
 	var entries []fleet.Entry
--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,6 +32,8 @@
 	wrap     func(net.Conn) net.Conn
 	log      *slog.Logger
 	listener net.Listener
+	stopping atomic.Bool
+	stopped  chan struct{} // closed when Run has returned
 
 	mu      sync.Mutex
 	limits  catalog.Limits
@@ -41,7 +44,7 @@
 // NewFrontend returns a frontend that accepts on listener. wrap is applied to each
 // accepted connection.
 func NewFrontend(g *Gate, listener net.Listener, wrap func(net.Conn) net.Conn, log *slog.Logger) *Frontend {
-	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener}
+	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener, stopped: make(chan struct{})}
 	f.SetLimits(defaultLimits)
 	return f
 }
@@ -88,21 +91,25 @@
 // Run accepts connections until the listener is closed, and then returns nil. After a
 // network error it retries; it returns any other error.
 func (f *Frontend) Run() error {
+	defer close(f.stopped)
 	for {
 		conn, err := f.listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			var netErr net.Error
-			if errors.As(err, &netErr) {
-				f.log.Warn("accepting a caller's connection failed, retrying in 20 ms", "error", err)
-				time.Sleep(acceptBackoff)
-				continue
-			}
+		if err == nil {
+			f.dispatch(f.wrap(conn))
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		var netErr net.Error
+		if !errors.As(err, &netErr) {
 			return err
 		}
-		f.dispatch(f.wrap(conn))
+		if f.stopping.Load() && netErr.Timeout() {
+			return f.listener.Close()
+		}
+		f.log.Warn("accepting a caller's connection failed, retrying in 20 ms", "error", err)
+		time.Sleep(acceptBackoff)
 	}
 }
 
@@ -131,8 +138,26 @@
 // out of file descriptors.
 const acceptBackoff = 20 * time.Millisecond
 
-// StopAccepting closes the listener. Open connections are still served.
-func (f *Frontend) StopAccepting() error { return f.listener.Close() }
+// backlogTime is how long a stopping frontend still accepts connections. The kernel has
+// established those in the backlog, and closing the listener would reset them.
+const backlogTime = 100 * time.Millisecond
+
+// StopAccepting accepts the connections in the backlog, closes the listener and waits
+// until Run has returned. Open connections are still served. It fails if the listener is
+// already closed. Run must have been called.
+func (f *Frontend) StopAccepting() error {
+	f.stopping.Store(true)
+	if l, ok := f.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		if err := l.SetDeadline(time.Now().Add(backlogTime)); err != nil {
+			return err
+		}
+		<-f.stopped
+		return nil
+	}
+	err := f.listener.Close()
+	<-f.stopped
+	return err
+}
 
 // Shutdown closes idle connections and waits until all requests in progress have
 // ended. If ctx ends first, it returns the error of ctx.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -50,9 +50,9 @@
 	// and to the time window of admission.RetryBudget.
 	RetryPercent int
 	MinRetries   int
-	// MaxBufferedBodyBytes is the total size of buffered request bodies above which
-	// requests with a body are refused.
-	MaxBufferedBodyBytes int64
+	// MaxBufferedBytes limits the memory for bodies of requests and responses and for
+	// events of streams. The first bytes of each buffer do not count.
+	MaxBufferedBytes int64
 	// While Overload reports an overload, the gate closes callers' connections after
 	// their responses, so that the callers reconnect to another gate.
 	Overload OverloadDetector
@@ -63,12 +63,12 @@
 // Gate is an http.Handler that proxies requests to backend servers. It is safe for
 // concurrent use. No other lock is acquired while its mutex is held.
 type Gate struct {
-	opts          Options
-	stats         stats
-	catalog       atomic.Pointer[catalog.Catalog]
-	draining      atomic.Bool
-	inProgress    atomic.Int64
-	bufferedBytes atomic.Int64 // of request bodies
+	opts       Options
+	stats      stats
+	catalog    atomic.Pointer[catalog.Catalog]
+	draining   atomic.Bool
+	inProgress atomic.Int64
+	memory     memoryLimit
 
 	mu           sync.Mutex
 	retryBudgets map[string]*admission.RetryBudget // by service
@@ -80,7 +80,7 @@
 // SetCatalog is called.
 func New(o Options) *Gate {
 	return &Gate{
-		opts: o, stats: newStats(o.Metrics), retryBudgets: make(map[string]*admission.RetryBudget),
+		opts: o, stats: newStats(o.Metrics), memory: memoryLimit{limit: o.MaxBufferedBytes}, retryBudgets: make(map[string]*admission.RetryBudget),
 		retryPercent: o.RetryPercent, minRetries: o.MinRetries,
 	}
 }
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -24,6 +24,8 @@
 	defaultTimeout = time.Minute
 	// bodyReadTimeout limits how long a request body may take to arrive.
 	bodyReadTimeout = 10 * time.Second
+	// defaultMaxBodyBytes limits a request body if the configuration sets no limit.
+	defaultMaxBodyBytes = 16 << 20
 	// retryAfterNotReady is the Retry-After of a gate without a configuration.
 	retryAfterNotReady = 500 * time.Millisecond
 	// retryAfterUnavailable is the Retry-After when no server is available or accepts the
@@ -52,6 +54,7 @@
 	workspace   *catalog.Workspace
 	query       placement.Query
 	body        []byte
+	memory      memoryReservation // for the bodies and the stream's buffer
 	// deadline is when the gate stops waiting for servers and responds to the caller.
 	deadline time.Time
 
@@ -75,14 +78,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	ctx, span := telemetry.StartSpan(r.Context(), spanRequest)
-	p := &proxyRequest{gate: g, w: w, r: r.WithContext(ctx), started: time.Now()}
+	p := &proxyRequest{gate: g, w: w, r: r.WithContext(ctx), started: time.Now(), memory: memoryReservation{limit: &g.memory}}
+	defer p.memory.release()
 	defer func() { telemetry.EndSpan(span, string(p.code)) }()
 	if err := p.admit(); err != nil {
 		p.refuse(err)
 		p.log()
 		return
 	}
-	defer g.bufferedBytes.Add(-int64(len(p.body)))
 	reservation, err := p.reserve()
 	if err != nil {
 		p.refuse(err)
@@ -159,47 +162,32 @@
 
 // readBody buffers the request body, so that it can be sent again in a retry.
 func (p *proxyRequest) readBody() *verdict.Error {
-	limit := p.catalog.Limits.MaxBodyBytes
-	if limit > 0 && p.r.ContentLength > limit {
-		p.w.Header().Set("Connection", "close")
-		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", limit)
-	}
 	if p.r.ContentLength == 0 {
 		return nil
 	}
-	if p.gate.bufferedBytes.Load() > p.gate.opts.MaxBufferedBodyBytes {
-		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "the memory for request bodies is exhausted").WithRetryAfter(retryAfterUnavailable)
+	limit := p.catalog.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBodyBytes
 	}
 	control := http.NewResponseController(p.w)
 	// The error is ignored: the connection is closed, or the writer has no deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	reader := p.r.Body
-	if limit > 0 {
-		reader = http.MaxBytesReader(p.w, p.r.Body, limit)
-	}
-	body, err := readAll(reader, p.r.ContentLength)
+	body, err := readBounded(p.r.Body, p.r.ContentLength, limit, &p.memory)
 	_ = control.SetReadDeadline(time.Time{})
-	if err != nil {
-		p.w.Header().Set("Connection", "close")
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", limit)
-		}
-		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request body could not be read").WithCause(err)
+	if err == nil {
+		p.body = body
+		return nil
 	}
-	p.body = body
-	p.gate.bufferedBytes.Add(int64(len(body)))
-	return nil
-}
-
-// readAll reads a body of the given length, or of unknown length if it is negative.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+	// The rest of the body is not read.
+	p.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", limit)
+	case errors.Is(err, errMemoryUsedUp):
+		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%v", err).WithRetryAfter(retryAfterUnavailable)
+	default:
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request body could not be read").WithCause(err)
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
 }
 
 // reserve reserves, from the workspace's quota, the maximum number of tokens that the
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -46,11 +46,11 @@
 	if resuming {
 		p.gate.stats.streamsResumed.Inc(1)
 	}
+	if err := conn.SetResponseDeadline(p.stallDeadline()); err != nil {
+		conn.Discard()
+		return p.streamBroken(err)
+	}
 	for {
-		if err := conn.SetResponseDeadline(p.stallDeadline()); err != nil {
-			conn.Discard()
-			return p.streamBroken(err)
-		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if completeLen := completeEventsLen(buffer); completeLen > 0 {
@@ -63,15 +63,24 @@
 				}
 				resuming = len(events) == 0
 			}
-			if writeErr := p.deliver(control, response, events); writeErr != nil {
+			delivered, deliverErr := p.deliver(control, response, events)
+			if deliverErr != nil {
 				conn.Discard()
-				return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: writeErr}
+				return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: deliverErr}
+			}
+			// Comments and parts of an event do not extend the deadline: a stalled stream can
+			// go on sending them.
+			if delivered > 0 || len(events) == 0 {
+				if deadlineErr := conn.SetResponseDeadline(p.stallDeadline()); deadlineErr != nil {
+					conn.Discard()
+					return p.streamBroken(deadlineErr)
+				}
 			}
 			buffer = append(buffer[:0], buffer[completeLen:]...)
 		}
 		switch {
 		case err == io.EOF && len(buffer) == 0:
-			conn.Release(response, true, info.IdleTimeout)
+			conn.Release(response, info.ID != "", info.IdleTimeout)
 			return p.streamCompleted(response)
 		case err == io.EOF:
 			conn.Discard()
@@ -85,12 +94,16 @@
 				conn.Discard()
 				return p.streamBroken(errEventTooLarge)
 			}
-			buffer = append(make([]byte, 0, 2*cap(buffer)), buffer...)
+			var growErr error
+			if buffer, growErr = growBuffer(buffer, 2*int64(cap(buffer)), &p.memory); growErr != nil {
+				conn.Discard()
+				return p.streamBroken(growErr)
+			}
 		}
 	}
 }
 
-// stallDeadline returns when to stop waiting for the next bytes of a stream: at the
+// stallDeadline returns when to stop waiting for the next event of a stream: at the
 // request's deadline, or, if the stream can be resumed on another server, after
 // stallGaps times EventGapObjective if that is earlier. Until the first event it waits
 // at least for the latency objective.
@@ -141,28 +154,29 @@
 	return len(events)
 }
 
-// deliver forwards complete events to the caller.
-func (p *proxyRequest) deliver(control *http.ResponseController, response *http.Response, events []byte) error {
+// deliver forwards complete events to the caller and returns how many of them have data
+// or an ID.
+func (p *proxyRequest) deliver(control *http.ResponseController, response *http.Response, events []byte) (int, error) {
 	if !p.stream.started {
 		p.stream.started = true
 		p.writeStreamHeader(control, response)
 	}
 	if len(events) == 0 {
-		return nil
+		return 0, nil
 	}
 	count, lastID := scanEvents(events)
 	if _, err := p.w.Write(events); err != nil {
-		return err
+		return 0, err
 	}
 	if err := control.Flush(); err != nil {
-		return err
+		return 0, err
 	}
 	p.stream.eventCount += count
 	if lastID != "" {
 		p.stream.lastEventID = lastID
 	}
 	p.gate.stats.events.Inc(int64(count))
-	return nil
+	return count, nil
 }
 
 // writeStreamHeader sends a response header to the caller. A resumed stream continues
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -31,9 +31,14 @@
 	CodeCompacted
 )
 
-var errorsByCode = map[Code]error{
-	CodeUnavailable: store.ErrUnavailable, CodeUnknownOutcome: store.ErrUnknownOutcome,
-	CodeLeaseNotFound: store.ErrLeaseNotFound, CodeTooLarge: store.ErrTooLarge, CodeCompacted: store.ErrCompacted,
+// codedErrors holds the error of each code. An error that wraps several of them is encoded
+// as the first.
+var codedErrors = []struct {
+	code Code
+	err  error
+}{
+	{CodeUnavailable, store.ErrUnavailable}, {CodeUnknownOutcome, store.ErrUnknownOutcome},
+	{CodeLeaseNotFound, store.ErrLeaseNotFound}, {CodeTooLarge, store.ErrTooLarge}, {CodeCompacted, store.ErrCompacted},
 }
 
 // Failure describes how a call failed at the relay.
@@ -42,15 +47,15 @@
 	Text string
 }
 
-// newFailure encodes an error. One that wraps none of the errors in errorsByCode is encoded as
+// newFailure encodes an error. One that wraps none of the errors in codedErrors is encoded as
 // CodeUnknownOutcome.
 func newFailure(err error) Failure {
 	if err == nil {
 		return Failure{}
 	}
-	for code, target := range errorsByCode {
-		if errors.Is(err, target) {
-			return Failure{Code: code, Text: err.Error()}
+	for _, coded := range codedErrors {
+		if errors.Is(err, coded.err) {
+			return Failure{Code: coded.code, Text: err.Error()}
 		}
 	}
 	return Failure{Code: CodeUnknownOutcome, Text: err.Error()}
@@ -61,9 +66,11 @@
 	if f.Code == CodeNone {
 		return nil
 	}
-	target, ok := errorsByCode[f.Code]
-	if !ok {
-		target = store.ErrUnknownOutcome
+	target := store.ErrUnknownOutcome
+	for _, coded := range codedErrors {
+		if coded.code == f.Code {
+			target = coded.err
+		}
 	}
 	return fmt.Errorf("%w: over a relay: %s", target, f.Text)
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(conn)
+	client = rpc.NewClient(newLimitedConn(conn, maxReplyBytes))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other := p.clients[address]; other != nil {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
 
 	"github.com/monsoonworks/monsoonworks/internal/store"
 )
@@ -54,6 +55,7 @@
 // connections and returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	defer s.closeAll()
+	listener = netutil.LimitListener(listener, maxConnections)
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -67,7 +69,7 @@
 		s.track(conn, true)
 		go func() {
 			defer s.track(conn, false)
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeConn(newLimitedConn(conn, maxRequestBytes))
 		}()
 	}
 }
@@ -101,34 +103,35 @@
 }
 
 // Get reads one key.
-func (s *storeService) Get(args *GetArgs, reply *GetReply) error {
-	var err error
-	reply.Entry, err = s.store.Get(s.ctx, args.Key)
-	s.noteCall("get", args.Key, err)
-	reply.Failure = newFailure(err)
+func (s *storeService) Get(args *GetArgs, reply *GetReply) (err error) {
+	defer RecoverCall(s.log, "get", &err)
+	entry, callErr := s.store.Get(s.ctx, args.Key)
+	s.noteCall("get", args.Key, callErr)
+	reply.Entry, reply.Failure = entry, newFailure(callErr)
 	return nil
 }
 
 // List reads all keys with a prefix.
-func (s *storeService) List(args *ListArgs, reply *ListReply) error {
-	var err error
-	reply.Snapshot, err = s.store.List(s.ctx, args.Prefix)
-	s.noteCall("list", args.Prefix, err)
-	reply.Failure = newFailure(err)
+func (s *storeService) List(args *ListArgs, reply *ListReply) (err error) {
+	defer RecoverCall(s.log, "list", &err)
+	snapshot, callErr := s.store.List(s.ctx, args.Prefix)
+	s.noteCall("list", args.Prefix, callErr)
+	reply.Snapshot, reply.Failure = snapshot, newFailure(callErr)
 	return nil
 }
 
 // Commit executes a transaction.
-func (s *storeService) Commit(args *CommitArgs, reply *CommitReply) error {
-	var err error
-	reply.Result, err = s.store.Commit(s.ctx, args.Txn)
-	s.noteCall("commit", "", err)
-	reply.Failure = newFailure(err)
+func (s *storeService) Commit(args *CommitArgs, reply *CommitReply) (err error) {
+	defer RecoverCall(s.log, "commit", &err)
+	result, callErr := s.store.Commit(s.ctx, args.Txn)
+	s.noteCall("commit", "", callErr)
+	reply.Result, reply.Failure = result, newFailure(callErr)
 	return nil
 }
 
 // Next waits for changes under a prefix.
-func (s *storeService) Next(args *NextArgs, reply *NextReply) error {
+func (s *storeService) Next(args *NextArgs, reply *NextReply) (err error) {
+	defer RecoverCall(s.log, "next", &err)
 	batch := s.store.Next(s.ctx, args.Prefix, args.Revision)
 	s.noteCall("next", args.Prefix, batch.Err)
 	reply.Events, reply.Revision, reply.Failure = batch.Events, batch.Revision, newFailure(batch.Err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net/netip"
 	"net/url"
 	"os"
@@ -160,7 +161,7 @@
 // Load reads and validates a settings file. Its errors name the file and, if it is known,
 // the line.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := readFile(path)
 	if err != nil {
 		return Settings{}, err
 	}
@@ -171,6 +172,25 @@
 	return s, nil
 }
 
+// maxFileBytes limits a settings file.
+const maxFileBytes = 1 << 20
+
+var errFileTooLarge = errors.New("the settings file is larger than 1 MiB")
+
+// readFile reads a settings file of at most maxFileBytes.
+func readFile(path string) (data []byte, err error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	data, err = io.ReadAll(io.LimitReader(f, maxFileBytes+1))
+	if err == nil && len(data) > maxFileBytes {
+		err = fmt.Errorf("%s: %w", path, errFileTooLarge)
+	}
+	return data, err
+}
+
 // Parse decodes and validates settings. Unknown keys are errors.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,6 +37,35 @@
 // readBufferBytes is the size of a connection's read buffer.
 const readBufferBytes = 4 << 10
 
+// maxHeadBytes limits the head of a response together with the informational responses
+// before it.
+const maxHeadBytes = 32 << 10
+
+// ErrHeadTooLarge means that the server sent maxHeadBytes without completing the head
+// of a response.
+var ErrHeadTooLarge = errors.New("the head of the response is larger than 32 KiB")
+
+// headLimiter limits what is read from a connection while the head of a response is
+// read. A body has no limit here; its reader sets one.
+type headLimiter struct {
+	conn    io.Reader
+	limited bool
+	left    int // bytes that may still be read while limited is set
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.conn.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // asyncWriteBytes is the size of an encoded request from which it is written in the
 // background while the response is awaited, because a server may respond before it
 // has read all of a large body.
@@ -47,7 +76,9 @@
 	pool    *Pool
 	address string
 	net.Conn
-	reader *bufio.Reader
+	head   *headLimiter
+	reader *bufio.Reader // reads from head
+	reused bool          // carried another request before
 	// idleTimeout is how long the server keeps an idle connection open, 0 if unknown.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -60,6 +91,15 @@
 	discarded   bool
 }
 
+func newConn(pool *Pool, address string, conn net.Conn) *Conn {
+	head := &headLimiter{conn: conn}
+	return &Conn{pool: pool, address: address, Conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+}
+
+// Reused reports whether the connection carried another request before. Only then can
+// a late response to another request arrive on it.
+func (c *Conn) Reused() bool { return c.reused }
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // Send writes a request. It fails with ErrNotSent if nothing was written. A large
@@ -116,9 +156,11 @@
 	return nil
 }
 
-// ReadResponse reads the header of the next response. It skips informational (1xx)
-// responses.
+// ReadResponse reads the head of the next response. It skips informational (1xx)
+// responses. It fails with ErrHeadTooLarge after maxHeadBytes.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.head.limited, c.head.left = true, maxHeadBytes
+	defer func() { c.head.limited = false }()
 	for {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -72,6 +71,7 @@
 		}
 		if c.reusable() {
 			p.reused.Inc(1)
+			c.reused = true
 			return c, nil
 		}
 		p.stale.Inc(1)
@@ -96,7 +96,7 @@
 		p.connClosed(address)
 		return nil, err
 	}
-	return &Conn{pool: p, address: address, Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}, nil
+	return newConn(p, address, conn), nil
 }
 
 // popIdle removes and returns the idle connection that was used last, nil if there
@@ -156,7 +156,8 @@
 	}
 }
 
-// CloseExpired closes the connections that are past their idle time.
+// CloseExpired closes the idle connections that are past their idle time, that the server
+// has closed, or on which it has sent bytes without a request.
 func (p *Pool) CloseExpired() {
 	now := time.Now()
 	var expired []*Conn
@@ -164,7 +165,7 @@
 	for address, list := range p.idle {
 		remaining := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.maxIdleTime() {
+			if now.Sub(c.idleSince) < c.maxIdleTime() && c.reusable() {
 				remaining = append(remaining, c)
 			} else {
 				expired = append(expired, c)
