Refuse amounts that overflow and negative amounts of other processes

Cause: FuzzRecords with sums checked: a stored amount near the largest integer makes the sum of all limits negative, so that a share could grow beyond what was paid. A reservation call with a negative bound raised the balance.

--- a/internal/prepaid/checkpoint.go
+++ b/internal/prepaid/checkpoint.go
@@ -32,7 +32,7 @@
 
 // maxSpent returns the most that may have been spent in total d after the checkpoint.
 func (b UsageBound) maxSpent(d time.Duration) Tokens {
-	return b.Spent + b.Burst + Tokens(float64(b.Rate)*d.Seconds())
+	return b.Spent + b.Burst + Tokens(min(float64(b.Rate)*d.Seconds(), float64(MaxAmount)))
 }
 
 // DecodeCheckpoint decodes a checkpoint. The error wraps ErrCorrupt.
@@ -45,7 +45,7 @@
 		return nil, merry.Wrap(ErrCorrupt, merry.AppendMessagef("unsupported version %d", c.Version))
 	}
 	for _, b := range c.UsageBounds {
-		if b.Spent < 0 || b.Burst < 0 || b.Rate < 0 {
+		if !validAmount(b.Spent) || !validAmount(b.Burst) || !validAmount(b.Rate) {
 			return nil, merry.Wrap(ErrCorrupt, merry.WithCause(errInvalidFields))
 		}
 	}
--- a/internal/prepaid/record.go
+++ b/internal/prepaid/record.go
@@ -82,17 +82,26 @@
 	return record, nil
 }
 
-var errInvalidFields = errors.New("amounts are negative or inconsistent, or a share has no owner")
+const (
+	// MaxAmount limits each amount, so that sums of the amounts of maxShares owners cannot
+	// overflow.
+	MaxAmount Tokens = 1 << 50
+	maxShares        = 4096
+)
+
+var errInvalidFields = errors.New("amounts are negative, inconsistent or too large, or a share has no owner")
+
+func validAmount(n Tokens) bool { return n >= 0 && n <= MaxAmount }
 
 func (r *QuotaRecord) validate() error {
 	if r.Version != recordVersion {
 		return fmt.Errorf("unsupported version %d", r.Version)
 	}
-	if r.ClosedSpent < 0 || r.Closed < r.ClosedSpent {
+	if r.ClosedSpent < 0 || r.Closed < r.ClosedSpent || r.Closed > MaxAmount || len(r.Shares) > maxShares {
 		return errInvalidFields
 	}
 	for _, s := range r.Shares {
-		if s.Spent < 0 || s.Limit < s.Spent || s.Reserved < 0 || s.Demand < 0 || s.Owner == "" {
+		if s.Spent < 0 || s.Limit < s.Spent || s.Limit > MaxAmount || !validAmount(s.Reserved) || !validAmount(s.Demand) || s.Owner == "" {
 			return errInvalidFields
 		}
 	}
--- a/internal/prepaid/record_test.go
+++ b/internal/prepaid/record_test.go
@@ -70,9 +70,14 @@
 // Any stored bytes either decode to a record with consistent amounts or give an error.
 func FuzzRecords(f *testing.F) {
 	f.Add([]byte(`{"v":1,"closed":5,"closed_spent":3,"shares":[{"holder":"h/1","limit":9,"spent":4,"demand":1}]}`))
+	f.Add([]byte(`{"v":1,"closed":9223372036854775807,"closed_spent":3,"shares":[{"holder":"h/1","limit":9,"spent":4,"demand":1}]}`))
+	f.Add([]byte(`{"v":1,"holder":"h/1","at":{"boot":"b","ms":5},"rows":{"ws":{"spent":1,"burst":2,"rate":9223372036854775807}}}`))
 	f.Add([]byte(`{"v":1,"holder":"h/1","at":{"boot":"b","ms":5},"rows":{"ws":{"spent":1,"burst":2,"rate":3}}}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if record, err := DecodeQuotaRecord(raw); err == nil {
+			if record.totalAllocated() < 0 || record.totalSpent() < 0 || record.totalDemand() < 0 || record.reservedByOthers("") < 0 {
+				t.Fatalf("a sum overflows: %+v", record)
+			}
 			for _, share := range record.Shares {
 				if share.Limit < share.Spent || share.Spent < 0 {
 					t.Fatalf("%+v", share)
@@ -81,7 +86,7 @@
 		}
 		if checkpoint, err := DecodeCheckpoint(raw); err == nil {
 			for _, bound := range checkpoint.UsageBounds {
-				if bound.Spent < 0 || bound.Burst < 0 || bound.Rate < 0 {
+				if bound.Spent < 0 || bound.Burst < 0 || bound.Rate < 0 || bound.maxSpent(time.Second) < bound.Spent || bound.maxSpent(1000*time.Hour) < bound.Spent {
 					t.Fatalf("%+v", bound)
 				}
 			}
--- a/internal/reserve/messages.go
+++ b/internal/reserve/messages.go
@@ -43,6 +43,35 @@
 	Settled []Settlement
 }
 
+// maxNameBytes limits the names of gates and workspaces, which are parts of store keys.
+const maxNameBytes = 150
+
+var errInvalidCall = errors.New("invalid call: a name is empty or too long, or an amount is negative or too large")
+
+// validate fails if the call could not have come from a gate that works. A negative amount
+// would raise the balance.
+func (a *ReserveArgs) validate() error {
+	c := a.Claim
+	if c.Workspace == "" || len(c.Workspace) > maxNameBytes || !validAmount(c.Paid) || !validAmount(c.Bound) {
+		return errInvalidCall
+	}
+	return validateSettlements(a.ID.Gate, a.Settled)
+}
+
+func validateSettlements(gate string, settlements []Settlement) error {
+	if gate == "" || len(gate) > maxNameBytes {
+		return errInvalidCall
+	}
+	for _, s := range settlements {
+		if !validAmount(s.Used) {
+			return errInvalidCall
+		}
+	}
+	return nil
+}
+
+func validAmount(n prepaid.Tokens) bool { return n >= 0 && n <= prepaid.MaxAmount }
+
 // ReserveReply is the reply to ReserveArgs.
 type ReserveReply struct {
 	// Refused is set if no reservation was granted; the other fields give the reason.
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -209,7 +209,7 @@
 
 func reserveTokens(c *qt.C, s *Server, number uint64, bound prepaid.Tokens) *ReserveReply {
 	reply := &ReserveReply{}
-	c.Assert(s.Reserve(&ReserveArgs{ID: ID{"g", number}, Claim: prepaid.ReservationRequest{Bound: bound}}, reply), qt.IsNil)
+	c.Assert(s.Reserve(&ReserveArgs{ID: ID{"g", number}, Claim: prepaid.ReservationRequest{Workspace: "ws", Bound: bound}}, reply), qt.IsNil)
 	return reply
 }
 
--- a/internal/reserve/server.go
+++ b/internal/reserve/server.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/relay"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -72,7 +73,12 @@
 var errNotGranted = errors.New("the holder stops, or the reservation was given up")
 
 // Reserve implements the RPC that requests a reservation.
-func (s *Server) Reserve(args *ReserveArgs, reply *ReserveReply) error {
+func (s *Server) Reserve(args *ReserveArgs, reply *ReserveReply) (err error) {
+	defer relay.RecoverCall(s.log, "reserve", &err)
+	if err := args.validate(); err != nil {
+		s.log.Warn("malformed reservation call refused", "gate", args.ID.Gate, "error", err)
+		return err
+	}
 	s.settle(args.ID.Gate, args.Settled)
 	entry, ok := s.addEntry(args.ID)
 	if !ok {
@@ -125,7 +131,12 @@
 }
 
 // Settle implements the RPC that settles reservations.
-func (s *Server) Settle(args *SettleArgs, _ *SettleReply) error {
+func (s *Server) Settle(args *SettleArgs, _ *SettleReply) (err error) {
+	defer relay.RecoverCall(s.log, "settle", &err)
+	if err := validateSettlements(args.Gate, args.Settled); err != nil {
+		s.log.Warn("malformed settlements refused", "gate", args.Gate, "error", err)
+		return err
+	}
 	s.settle(args.Gate, args.Settled)
 	return nil
 }
