End only attempts of the crashed engine process and report lost work truthfully

Cause: after a restart that the health check had not seen yet, handleCrash also ended attempts on the new process, because they carried the former boot ID. A stream that broke and whose resumption found the port closed counted as not run and was not billed, since ErrNotSent was checked before ErrServerLost. Done.CrashID was never set, so routers neither reported the crash nor retried after it. The engine stand-in accepted requests while down. The fake agent of package dispatch answered with its former boot ID. Change: if the server has restarted, each attempt finds the crash by its own lost connection; one report per crash. The order of the errors, the ID, the stand-in and the fake agent are corrected.

--- a/devel/standin/engine/engine.go
+++ b/devel/standin/engine/engine.go
@@ -102,12 +102,18 @@
 	return e.crashed, !e.down
 }
 
+// ErrDown means that the engine is down after a crash.
+var ErrDown = errors.New("the engine is down")
+
 // Submit queues a request, as the completions endpoints do. The tokens can be read
-// from the request's stream. It returns ErrNoModel, ErrTooLarge, or ErrDuplicate if
-// the ID is that of a request whose stream exists.
+// from the request's stream. It returns ErrDown, ErrNoModel, ErrTooLarge, or
+// ErrDuplicate if the ID is that of a request whose stream exists.
 func (e *Engine) Submit(req Request) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return ErrDown
+	}
 	if e.streams[req.ID] != nil {
 		return ErrDuplicate
 	}
--- a/devel/standin/engine/http.go
+++ b/devel/standin/engine/http.go
@@ -95,7 +95,11 @@
 	if req.ID == "" {
 		req.ID = strconv.FormatInt(time.Now().UnixNano(), 36)
 	}
-	if err := e.Submit(req); err != nil {
+	err := e.Submit(req)
+	if errors.Is(err, ErrDown) {
+		panic(http.ErrAbortHandler) // a process that has ended sends no response
+	}
+	if err != nil {
 		status := map[error]int{ErrDuplicate: http.StatusConflict, ErrNoModel: http.StatusNotFound}[err]
 		if status == 0 {
 			status = http.StatusBadRequest
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,6 +122,9 @@
 	// that succeeded, empty if unknown.
 	serverBootID string
 	crashCount   int
+	// crashIDs holds the ID of the last crash by the boot ID of the server's process
+	// that crashed.
+	crashIDs map[string]uuid.UUID
 	// pendingPrefill is the number of uncached prompt tokens of the running
 	// attempts that have not returned their first token.
 	pendingPrefill int
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -44,8 +44,10 @@
 	startedAt    time.Time
 	// prefillTokens is the attempt's part of Agent.pendingPrefill.
 	prefillTokens int
-	// crashed is set if the server crashed during the attempt.
+	// crashed is set if the server crashed during the attempt, and crashID is the ID
+	// of that crash.
 	crashed bool
+	crashID uuid.UUID
 
 	done       *wire.Done // without load and bill; nil before the end
 	finishedAt time.Time
@@ -168,6 +170,9 @@
 	a.pendingPrefill -= at.prefillTokens
 	at.prefillTokens = 0
 	done.Attempt, done.Crashed = at.id, at.crashed && done.Verdict != verdict.NotRun
+	if done.Crashed {
+		done.CrashID = at.crashID
+	}
 	at.done, at.state, at.finishedAt = done, stateFinished, time.Now()
 	at.body, at.prepared = nil, nil
 	at.req = trimmedRequest(at.req)
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -27,31 +27,28 @@
 }
 
 // handleConnectionLoss checks whether the server crashed, after an attempt lost
-// its connection to it. If it did, all attempts in progress end, and their
-// fingerprints are reported once.
+// its connection to it. If the server does not respond, all attempts in progress
+// end. If it has restarted, the attempts of its former process find that out by
+// themselves, because their connections have ended; others may already run on
+// the new process. The fingerprints of the attempts are reported once.
 func (a *Agent) handleConnectionLoss(at *attempt, cause error) {
 	a.mu.Lock()
 	crashed, startBootID := at.crashed, at.serverBootID
 	a.mu.Unlock()
-	if crashed || !a.serverCrashed(cause, startBootID) {
+	if crashed {
 		return
 	}
-	a.handleCrash(at)
-}
-
-// serverCrashed checks the server's health. A server whose health check fails
-// counts as crashed. Any other has crashed if its boot ID is not that at the
-// attempt's start, or if either is unknown and the engine no longer has the
-// attempt's stream.
-func (a *Agent) serverCrashed(cause error, startBootID string) bool {
 	current, err := a.health(context.Background())
 	switch {
 	case err != nil:
-		return true
+		a.handleCrash(at, "")
 	case startBootID != "" && current != "":
-		return startBootID != current
-	default:
-		return errors.Is(cause, engine.ErrStreamLost)
+		if startBootID != current {
+			a.handleCrash(at, current)
+		}
+	case errors.Is(cause, engine.ErrStreamLost):
+		// Without boot IDs, a lost stream is the only sign of a restart.
+		a.handleCrash(at, "")
 	}
 }
 
@@ -64,32 +61,46 @@
 	return health.Boot, err
 }
 
-// handleCrash reports a crash of the server and ends the attempts that were in
-// progress, including the given one.
-func (a *Agent) handleCrash(at *attempt) {
+// handleCrash reports a crash of the server that the given attempt found. current
+// is the boot ID of the restarted server, empty if it did not respond or reports
+// none: then the attempts in progress end, too.
+func (a *Agent) handleCrash(at *attempt, current string) {
 	a.mu.Lock()
 	if at.crashed {
 		a.mu.Unlock()
 		return
 	}
+	if id, reported := a.crashIDs[at.serverBootID]; reported && at.serverBootID != "" {
+		at.crashed, at.crashID = true, id
+		a.mu.Unlock()
+		return
+	}
 	a.crashCount++
 	report := wire.CrashReport{
 		Server: a.opts.Server, AgentBoot: a.opts.Identity.Boot,
 		CrashID: crashID(a.opts.Server, a.opts.Identity.Boot, a.crashCount),
 	}
+	a.crashIDs = map[string]uuid.UUID{at.serverBootID: report.CrashID}
+	at.crashed, at.crashID = true, report.CrashID
 	for other := range a.running {
-		if other != at && other.serverBootID != at.serverBootID {
+		if other.serverBootID != at.serverBootID {
 			continue // started after the restart
 		}
-		other.crashed = true
-		other.cancel(errServerCrash)
 		report.Fingerprints = append(report.Fingerprints, other.req.Fingerprint)
+		if current == "" {
+			other.crashed, other.crashID = true, report.CrashID
+			other.cancel(errServerCrash)
+		}
 	}
 	a.metrics.crashes.Inc(1)
-	a.setServerDownLocked(true)
+	if current == "" {
+		a.setServerDownLocked(true)
+	} else {
+		a.serverBootID = current
+	}
 	a.mu.Unlock()
 	a.cachedPrefixes.Cleared()
-	a.log.Warn("server crashed, requests in progress failed", "crash", report.CrashID, "requests", len(report.Fingerprints))
+	a.log.Warn("server crashed, requests in progress failed", "crash", report.CrashID, "requests", len(report.Fingerprints), "restarted", current != "")
 	if a.opts.OnCrash != nil {
 		a.opts.OnCrash(report)
 	}
--- a/internal/agent/helpers_test.go
+++ b/internal/agent/helpers_test.go
@@ -323,3 +323,10 @@
 	defer f.agent.mu.Unlock()
 	return f.agent.history.keptBytes, len(f.agent.attempts)
 }
+
+// setBoot sets the boot ID that health checks return.
+func (s *stubEngine) setBoot(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bootID = id
+}
--- a/internal/agent/model.go
+++ b/internal/agent/model.go
@@ -321,6 +321,10 @@
 	case errors.Is(err, errDeadline):
 		r.cancelEngine()
 		done.Code = verdict.CodeDeadlineExceeded
+	case errors.Is(err, engine.ErrServerLost), errors.Is(err, errServerCrash), errors.Is(err, engine.ErrStreamLost):
+		// ErrServerLost goes before ErrNotSent: only the resumption was not sent.
+		r.agent.handleConnectionLoss(r.at, err)
+		done.Code, done.Detail = verdict.CodeServerLost, "the server was lost while it ran the request"
 	case errors.Is(err, engine.ErrInvalidRequest):
 		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeBadRequest, Detail: err.Error()}, nil
 	case errors.Is(err, engine.ErrNotSent):
@@ -328,9 +332,6 @@
 		return &wire.Done{Verdict: verdict.NotRun, Code: verdict.CodeNoServer, Detail: "the server cannot be reached"}, nil
 	case errors.As(err, &status) && r.chunks == 0:
 		return statusErrorDone(status), nil
-	case errors.Is(err, errServerCrash), errors.Is(err, engine.ErrServerLost), errors.Is(err, engine.ErrStreamLost):
-		r.agent.handleConnectionLoss(r.at, err)
-		done.Code, done.Detail = verdict.CodeServerLost, "the server was lost while it ran the request"
 	default:
 		r.cancelEngine()
 	}
--- a/internal/dispatch/agent_test.go
+++ b/internal/dispatch/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -237,6 +238,9 @@
 	a.stream(processCtx, s, at, req.Offset, behavior{})
 }
 
+// errProcessEnded fails a call that reaches a process of the agent after its end.
+var errProcessEnded = errors.New("the agent's process has ended")
+
 // agentRPC is the RPC service of one process of a fake agent.
 type agentRPC struct {
 	a      *fakeAgent
@@ -247,6 +251,9 @@
 	a := r.a
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.bootID != r.bootID {
+		return errProcessEnded
+	}
 	reply.Boot = r.bootID
 	at := a.attempts[args.Attempt]
 	switch {
