Answer requests that arrive during a planned stop

Cause: http.Server.Shutdown drops a request that it reads after the shutdown has begun, and closes kept connections on which a request is arriving. Connections in the backlog were reset when the listener closed. Requests without an ID cannot be told apart from others on their connection. Change: package graceful ends only the wait of idle connections; the gate and the gateway use it. The gate accepts what is in the backlog before it closes the listener. A request without an ID is refused with 400 before it is sent (two tests now send an ID).

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -109,7 +109,11 @@
 }
 
 func (g *Gate) listen() error {
-	listener, err := net.Listen("tcp", g.settings.Gate.Listen)
+	address, err := net.ResolveTCPAddr("tcp", g.settings.Gate.Listen)
+	if err != nil {
+		return fmt.Errorf("listener for callers: %w", err)
+	}
+	listener, err := net.ListenTCP("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listener for callers: %w", err)
 	}
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -275,8 +275,7 @@
 	if info.ID != "" {
 		return info.ID != p.requestInfo.ID
 	}
-	refused := info.NotRun || response.StatusCode == http.StatusMisdirectedRequest
-	return reused || p.requestInfo.ID != "" && !refused
+	return reused || !info.NotRun && response.StatusCode != http.StatusMisdirectedRequest
 }
 
 // drainBody discards the body of a response. It reports false if no further response
--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -10,9 +10,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/monsoonworks/monsoonworks/internal/catalog"
+	"github.com/monsoonworks/monsoonworks/internal/graceful"
 )
 
 // defaultLimits apply until a configuration is loaded, and for limits that it does
@@ -25,14 +24,21 @@
 // before the timeout does not find the connection closed.
 const idleMargin = 2 * time.Second
 
+// DeadlineListener is a listener whose Accept can time out. net.TCPListener implements it.
+type DeadlineListener interface {
+	net.Listener
+	SetDeadline(t time.Time) error
+}
+
 // Frontend accepts callers' connections and serves them with the configured limits.
 // It is safe for concurrent use. No other lock is acquired while its mutex is held.
 type Frontend struct {
 	gate     *Gate
 	wrap     func(net.Conn) net.Conn
 	log      *slog.Logger
-	listener net.Listener
-	stopping atomic.Bool
+	listener DeadlineListener
+	conns    *graceful.Conns
+	stopAt   atomic.Int64  // when Run ends at the latest, in Unix nanoseconds; 0 unless stopping
 	stopped  chan struct{} // closed when Run has returned
 
 	mu      sync.Mutex
@@ -43,8 +49,8 @@
 
 // NewFrontend returns a frontend that accepts on listener. wrap is applied to each
 // accepted connection.
-func NewFrontend(g *Gate, listener net.Listener, wrap func(net.Conn) net.Conn, log *slog.Logger) *Frontend {
-	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener, stopped: make(chan struct{})}
+func NewFrontend(g *Gate, listener DeadlineListener, wrap func(net.Conn) net.Conn, log *slog.Logger) *Frontend {
+	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener, stopped: make(chan struct{}), conns: graceful.NewConns()}
 	f.SetLimits(defaultLimits)
 	return f
 }
@@ -65,6 +71,7 @@
 		Handler: f.gate, MaxHeaderBytes: orDefault(l.MaxHeaderBytes, defaultLimits.MaxHeaderBytes),
 		ReadHeaderTimeout: orDefault(l.HeaderTimeout, defaultLimits.HeaderTimeout),
 		IdleTimeout:       orDefault(l.IdleTimeout, defaultLimits.IdleTimeout) + idleMargin,
+		ConnState:         f.setState,
 		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
 	if f.current != nil {
@@ -75,6 +82,13 @@
 	go f.serve(server, f.current)
 }
 
+// setState is the ConnState hook of the servers. All connections come from Run.
+func (f *Frontend) setState(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(*graceful.Conn); ok {
+		f.conns.SetState(c, state)
+	}
+}
+
 func orDefault[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
 		return value
@@ -95,8 +109,10 @@
 	for {
 		conn, err := f.listener.Accept()
 		if err == nil {
-			f.dispatch(f.wrap(conn))
-			continue
+			f.dispatch(&graceful.Conn{Conn: f.wrap(conn)})
+			if err = f.extendBacklogTime(); err == nil {
+				continue
+			}
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -105,7 +121,7 @@
 		if !errors.As(err, &netErr) {
 			return err
 		}
-		if f.stopping.Load() && netErr.Timeout() {
+		if f.stopAt.Load() != 0 && netErr.Timeout() {
 			return f.listener.Close()
 		}
 		f.log.Warn("accepting a caller's connection failed, retrying in 20 ms", "error", err)
@@ -138,38 +154,54 @@
 // out of file descriptors.
 const acceptBackoff = 20 * time.Millisecond
 
-// backlogTime is how long a stopping frontend still accepts connections. The kernel has
-// established those in the backlog, and closing the listener would reset them.
-const backlogTime = 100 * time.Millisecond
+const (
+	// A stopping frontend accepts connections until none has arrived for backlogTime, at
+	// most for maxBacklogTime. The kernel has established those in the backlog, and closing
+	// the listener would reset them.
+	backlogTime    = 100 * time.Millisecond
+	maxBacklogTime = 500 * time.Millisecond
+)
 
 // StopAccepting accepts the connections in the backlog, closes the listener and waits
 // until Run has returned. Open connections are still served. It fails if the listener is
 // already closed. Run must have been called.
 func (f *Frontend) StopAccepting() error {
-	f.stopping.Store(true)
-	if l, ok := f.listener.(interface{ SetDeadline(time.Time) error }); ok {
-		if err := l.SetDeadline(time.Now().Add(backlogTime)); err != nil {
-			return err
-		}
-		<-f.stopped
-		return nil
+	f.stopAt.Store(time.Now().Add(maxBacklogTime).UnixNano())
+	if err := f.extendBacklogTime(); err != nil {
+		return err
 	}
-	err := f.listener.Close()
 	<-f.stopped
-	return err
+	return nil
+}
+
+// extendBacklogTime makes Run end backlogTime from now if the frontend is stopping.
+func (f *Frontend) extendBacklogTime() error {
+	stopAt := f.stopAt.Load()
+	if stopAt == 0 {
+		return nil
+	}
+	deadline := time.Now().Add(backlogTime)
+	if last := time.Unix(0, stopAt); deadline.After(last) {
+		deadline = last
+	}
+	return f.listener.SetDeadline(deadline)
 }
 
-// Shutdown closes idle connections and waits until all requests in progress have
-// ended. If ctx ends first, it returns the error of ctx.
+// Shutdown waits until all requests in progress have ended and closes connections when
+// they are idle. If ctx ends first, it closes the rest and returns the error of ctx.
 func (f *Frontend) Shutdown(ctx context.Context) error {
+	defer f.closeServers()
+	return f.conns.Drain(ctx)
+}
+
+func (f *Frontend) closeServers() {
 	f.mu.Lock()
-	servers := append([]*http.Server(nil), f.servers...)
-	f.mu.Unlock()
-	var group errgroup.Group
-	for _, server := range servers {
-		group.Go(func() error { return server.Shutdown(ctx) })
+	defer f.mu.Unlock()
+	for _, server := range f.servers {
+		if err := server.Close(); err != nil {
+			f.log.Debug("closing the HTTP server for callers failed", "error", err)
+		}
 	}
-	return group.Wait()
 }
 
 // connQueue is a net.Listener whose connections come from enqueue.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -204,6 +204,7 @@
 	r, err := http.NewRequestWithContext(ctx, "POST", f.url+"/stream/", nil)
 	f.c.Assert(err, qt.IsNil)
 	r.Host = "h"
+	r.Header.Set("Id", "id-1")
 	r.Header.Set("Key", "k")
 	r.Header.Set("Tokens", "1")
 	_, err = f.client.Do(r)
@@ -230,6 +231,7 @@
 	r, err := http.NewRequest("POST", f.url+"/unsafe/", strings.NewReader(strings.Repeat("x", 2<<20)))
 	f.c.Assert(err, qt.IsNil)
 	r.Host = "h"
+	r.Header.Set("Id", "id-1")
 	r.Header.Set("Key", "k")
 	response, err := f.client.Do(r)
 	if err == nil { // the gate may close the connection before the caller has sent the body
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -112,6 +112,10 @@
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "%v", err)
 	}
+	if info.ID == "" {
+		// Its response could not be told from one to another request.
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request has no ID")
+	}
 	p.catalog = p.gate.Catalog()
 	if p.catalog == nil {
 		return verdict.New(verdict.NotRun, verdict.CodeNotReady, "no configuration is loaded yet").WithRetryAfter(retryAfterNotReady)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/monsoonworks/monsoonworks/internal/graceful"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -33,14 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn}, nil
+	return &callerConn{Conn: &graceful.Conn{Conn: conn}}, nil
 }
 
 // callerConn is the connection of a caller. net/http itself responds to a request
 // that it cannot parse, without calling a handler. That response has no verdict, so
 // callerConn replaces it with one that has a verdict and a problem body.
 type callerConn struct {
-	net.Conn
+	*graceful.Conn
 	// handlerActive is set from the start of a handler until its response has been
 	// sent. Meanwhile nothing is replaced, because a body can contain the bytes of
 	// an error response.
@@ -61,12 +62,17 @@
 	}
 }
 
-// markHandlerDone records that the response was sent, which net/http reports by
-// http.StateIdle.
-func markHandlerDone(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+// setConnState is the ConnState hook of the server. net/http reports by http.StateIdle
+// that a response was sent.
+func (g *Gateway) setConnState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	if state == http.StateIdle {
 		c.handlerActive.Store(false)
 	}
+	g.conns.SetState(c.Conn, state)
 }
 
 // Write implements net.Conn.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,9 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,6 +25,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/admission"
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/dispatch"
+	"github.com/monsoonworks/monsoonworks/internal/graceful"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -219,6 +222,8 @@
 type Gateway struct {
 	opts       Options
 	server     *http.Server
+	listener   atomic.Pointer[net.Listener] // set by Serve
+	conns      *graceful.Conns
 	auth       *authenticator
 	bodyMemory *semaphore.Weighted // in bytes, for request bodies
 	calls      callTracker
@@ -236,6 +241,7 @@
 		stats:      newStats(opts.Metrics),
 	}
 	g.calls.gauge = g.stats.inProgress
+	g.conns = graceful.NewConns()
 	g.server = newServer(g)
 	return g
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -23,7 +23,7 @@
 		IdleTimeout:       g.opts.IdleTimeout,
 		MaxHeaderBytes:    g.opts.MaxHeaderBytes,
 		ConnContext:       withConn,
-		ConnState:         markHandlerDone,
+		ConnState:         g.setConnState,
 		ErrorLog:          slog.NewLogLogger(g.opts.Logger.Handler(), slog.LevelDebug),
 	}
 }
@@ -31,10 +31,12 @@
 // Serve accepts connections on ln until Shutdown or Close, and then returns nil.
 func (g *Gateway) Serve(ln net.Listener) error {
 	limited := netutil.LimitListener(ln, g.opts.MaxConns)
-	if err := g.server.Serve(callerListener{limited}); !errors.Is(err, http.ErrServerClosed) {
-		return err
+	g.listener.Store(&limited)
+	err := g.server.Serve(callerListener{limited})
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // Drain refuses new calls from now on and waits until the calls in progress have
@@ -53,7 +55,14 @@
 // Shutdown stops accepting connections and waits until all are closed or ctx ends.
 // Call it after Drain; it also waits until the responses of finished calls have been
 // sent.
-func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	if l := g.listener.Load(); l != nil {
+		if err := (*l).Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+			return err
+		}
+	}
+	return errors.Join(g.conns.Drain(ctx), g.server.Close())
+}
 
 // Close closes the listeners and all connections at once. The contexts of calls in
 // progress are canceled.
