--- /dev/null
+++ b/internal/prepaid/powerloss_test.go
@@ -0,0 +1,45 @@
+package prepaid
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// maxLostPercent is the part of what a workspace paid that one loss of power may take from it,
+// apart from the requests in progress. Workspaces must be able to use 97%.
+const maxLostPercent = 3
+
+// A loss of power takes the headroom of a workspace's share. Whenever it comes, once the owner
+// has had demand for some seconds, the loss must stay small against what was paid, and nothing
+// may be overspent. The workspace spends all that it paid within 50 s.
+func TestLossOfPowerIsBounded(t *testing.T) {
+	for seed := range uint64(50) {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSimulation(t, seed, 1)
+			s.setPaid(3_200_000)
+			h := s.hosts[0]
+			after := time.Duration(20+s.random.IntN(25)) * time.Second
+			for started := time.Now(); time.Since(started) < after; time.Sleep(time.Duration(s.random.IntN(66)) * time.Millisecond) {
+				s.request()
+			}
+			h.stop()
+			h.manager.mu.Lock()
+			q := h.manager.quotas["ws"]
+			lost := q.limit() - q.spent - q.reserved
+			h.manager.mu.Unlock()
+			c.Check(lost*100 <= s.paid*maxLostPercent, qt.IsTrue, qt.Commentf("seed %d: %d of %d lost after %v", seed, lost, s.paid, after))
+			h.clock = &testClock{boot: "after", base: time.Now()}
+			h.start(t)
+			for range 400 {
+				s.request()
+				time.Sleep(30 * time.Millisecond)
+			}
+			h.stop()
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/prepaid/sync.go
+++ b/internal/prepaid/sync.go
@@ -164,6 +164,7 @@
 			return err
 		}
 		if result.Committed {
+			m.logClosed(t)
 			m.applyCommitted(t, result.Revision)
 			m.opts.Log.Info("quota sync committed", "accounts", len(t.batch), "conflicts", attempt,
 				"revision", result.Revision, "ms", time.Since(start).Milliseconds())
@@ -183,6 +184,26 @@
 	return errTooManyConflicts
 }
 
+// logClosed logs, for each share of an earlier process that a committed transaction closes,
+// the amounts that decide about it. What that process had reserved and what it may have spent
+// beyond that are lost to the workspace unless they were spent.
+func (m *Manager) logClosed(t syncTxn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i, q := range t.batch {
+		next := &t.records[i]
+		for _, share := range q.record.Shares {
+			if share.Owner == m.opts.Owner || !sameHost(share.Owner, m.opts.Owner) {
+				continue
+			}
+			maxSpent, minSpent := m.self.prev.spentBounds(share, q.workspace, m.self.start)
+			m.opts.Log.Info("share of an earlier process closed", "workspace", q.workspace, "owner", share.Owner,
+				"limit", share.Limit, "spent", share.Spent, "reserved", share.Reserved, "counted_spent", maxSpent, "known_spent", minSpent,
+				"demand", share.Demand, "paid", q.paid, "closed", next.Closed, "closed_spent", next.ClosedSpent)
+		}
+	}
+}
+
 // refresh rereads the records that this process has not written within maxRecordAge, if the
 // batch is small: a stale read costs a tenth of what a conflict of the transaction costs. An
 // error only ends the refresh, because the transaction detects outdated records.
