--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -15,9 +15,7 @@
 	// requests.
 	MinHeadroom Tokens
 	// FairShareDivisor limits the headroom to the owner's fair share of the balance
-	// divided by it, while nothing is spent. The fair share is in proportion to the demand.
-	// The limit shrinks with the square of the balance: a loss of power takes all
-	// headroom, which matters most when the balance is small.
+	// divided by it. The fair share is in proportion to the demand.
 	FairShareDivisor Tokens
 	// After a checkpoint, the demand over BurstDuration may be spent at once. RatePercent is
 	// the rate at which more may be spent, as a percentage of the demand.
@@ -101,9 +99,7 @@
 		return max(min(paid/p.InitialShareDivisor, remaining/p.FairShareDivisor), self.waiting)
 	}
 	fairShare := Tokens(float64(remaining) * float64(self.demand) / float64(totalDemand))
-	unspentPart := float64(remaining) / float64(max(paid, 1))
-	maxHeadroom := Tokens(float64(fairShare/p.FairShareDivisor) * unspentPart)
-	headroom := min(self.demand*p.Horizon.Milliseconds()/1000, maxHeadroom)
+	headroom := min(self.demand*p.Horizon.Milliseconds()/1000, fairShare/p.FairShareDivisor)
 	return max(headroom, p.minHeadroom(self, remaining), self.waiting)
 }
 
