Keep responses of a router whose shutdown times out, and limit files that are read

Cause: Gateway.Shutdown closed connections when its time ended, although a router's planned stop repeats its drain and aborts nothing. Change: the gateway closes nothing when its time ends; package limitio limits settings, secrets, certificates and answers.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/monsoonworks/monsoonworks/internal/limitio"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 )
 
@@ -82,7 +83,7 @@
 // certificate authority, whose own certificate is not reloaded. Processes connect by IP
 // address, so names in certificates are not checked; the hello message names the peer.
 func (r *Reloader) MutualConfig() (*tls.Config, error) {
-	pem, err := os.ReadFile(r.settings.CAFile)
+	pem, err := limitio.ReadFile(r.settings.CAFile, maxPEMBytes)
 	if err != nil {
 		return nil, fmt.Errorf("certificate authority: %w", err)
 	}
--- a/internal/certs/secret.go
+++ b/internal/certs/secret.go
@@ -2,21 +2,25 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
+
+	"github.com/monsoonworks/monsoonworks/internal/limitio"
 )
 
 // minSecretBytes is the minimum length of the shared secret. A shorter one could be
 // guessed.
 const minSecretBytes = 16
 
+// maxPEMBytes limits a file with a secret or with certificates.
+const maxPEMBytes = 1 << 20
+
 // LoadSecret reads the deployment's shared secret from a file, without leading and
 // trailing white space. For an empty path it returns no secret.
 func LoadSecret(path string) ([]byte, error) {
 	if path == "" {
 		return nil, nil
 	}
-	text, err := os.ReadFile(path)
+	text, err := limitio.ReadFile(path, maxPEMBytes)
 	if err != nil {
 		return nil, fmt.Errorf("shared secret: %w", err)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -52,16 +52,19 @@
 	}
 }
 
-// Shutdown stops accepting connections and waits until all are closed or ctx ends.
-// Call it after Drain; it also waits until the responses of finished calls have been
-// sent.
+// Shutdown stops accepting connections and waits until all are closed. Call it after
+// Drain; it also waits until the responses of finished calls have been sent. If ctx ends
+// first, it returns the error of ctx, closes nothing else and can be called again.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	if l := g.listener.Load(); l != nil {
 		if err := (*l).Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 			return err
 		}
 	}
-	return errors.Join(g.conns.Drain(ctx), g.server.Close())
+	if err := g.conns.Drain(ctx); err != nil {
+		return err
+	}
+	return g.server.Close()
 }
 
 // Close closes the listeners and all connections at once. The contexts of calls in
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -330,6 +331,40 @@
 	c.Assert(g.Shutdown(t.Context()), qt.IsNil)
 }
 
+// Guards against a shutdown that cuts a response off when its time ends, and against one that
+// drops a request on a connection that was accepted before.
+func TestShutdownKeepsResponses(t *testing.T) {
+	c := qt.New(t)
+	resume := make(chan struct{})
+	g, url := serveLoopback(t, testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+		_ = s.Head(200, eventStreamHead)
+		_ = s.Data(1, chunk(1))
+		<-resume
+		_ = s.Data(0, done)
+		return ranOutcome
+	}))
+	stream := send(t, "POST", url+pathChat, streamBody)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	time.Sleep(20 * time.Millisecond) // until the connection is accepted
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	c.Assert(g.Drain(canceled), qt.IsNotNil)
+	c.Assert(g.Shutdown(canceled), qt.ErrorIs, context.Canceled)
+	_, err = io.WriteString(conn, "GET "+pathReady+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	buffer := make([]byte, 64)
+	n, err := conn.Read(buffer)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(buffer[:n]), qt.Matches, `(?s)HTTP/1\.1 503 .*`)
+	close(resume)
+	c.Assert(readAll(t, stream), qt.Equals, string(chunk(1))+string(done))
+	c.Assert(g.Drain(t.Context()), qt.IsNil)
+	c.Assert(g.Shutdown(t.Context()), qt.IsNil)
+}
+
 // Guards against a slow caller that never releases the memory acquired for its body, and
 // against a body that is accepted while the memory for bodies is in use.
 func TestSlowBody(t *testing.T) {
--- a/internal/questionnaire/answers.go
+++ b/internal/questionnaire/answers.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/monsoonworks/monsoonworks/internal/budget"
 	"github.com/monsoonworks/monsoonworks/internal/config"
+	"github.com/monsoonworks/monsoonworks/internal/limitio"
 )
 
 // Answers are the validated answers to all questions. The JSON names are the keys
@@ -94,10 +94,13 @@
 // ID returns the name of the budget as "WORKSPACE/NAME".
 func (b Budget) ID() budget.ID { return budget.MakeID(b.Workspace, b.Name) }
 
+// maxAnswersBytes limits an answers file. It has room for 300,000 budgets.
+const maxAnswersBytes = 128 << 20
+
 // Load reads and validates an answers file. Its errors name the file, the line, the
 // question and the answers that it accepts.
 func Load(path string) (*Answers, error) {
-	data, err := os.ReadFile(path)
+	data, err := limitio.ReadFile(path, maxAnswersBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/internal/limitio"
 )
 
 // Any settings file must be accepted or refused with an error.
@@ -26,5 +28,5 @@
 	path := filepath.Join(t.TempDir(), "large.yaml")
 	c.Assert(os.WriteFile(path, make([]byte, maxFileBytes+1), 0o600), qt.IsNil)
 	_, err := Load(path)
-	c.Assert(err, qt.ErrorIs, errFileTooLarge)
+	c.Assert(err, qt.ErrorIs, limitio.ErrTooLarge)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,16 +8,15 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"net/netip"
 	"net/url"
-	"os"
 	"regexp"
 	"time"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
 
+	"github.com/monsoonworks/monsoonworks/internal/limitio"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -161,7 +160,7 @@
 // Load reads and validates a settings file. Its errors name the file and, if it is known,
 // the line.
 func Load(path string) (Settings, error) {
-	data, err := readFile(path)
+	data, err := limitio.ReadFile(path, maxFileBytes)
 	if err != nil {
 		return Settings{}, err
 	}
@@ -175,22 +174,6 @@
 // maxFileBytes limits a settings file.
 const maxFileBytes = 1 << 20
 
-var errFileTooLarge = errors.New("the settings file is larger than 1 MiB")
-
-// readFile reads a settings file of at most maxFileBytes.
-func readFile(path string) (data []byte, err error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, f.Close()) }()
-	data, err = io.ReadAll(io.LimitReader(f, maxFileBytes+1))
-	if err == nil && len(data) > maxFileBytes {
-		err = fmt.Errorf("%s: %w", path, errFileTooLarge)
-	}
-	return data, err
-}
-
 // Parse decodes and validates settings. Unknown keys are errors.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
