Limit the heads of responses of engines, services and the store's gateway

Cause: net/http reads heads of up to 10 MB; an agent with 16 slots could be made to hold 160 MB by its own server. Change: 32 KiB, as for the gate's servers. Result: the packages' tests pass.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -139,6 +139,9 @@
 	return o
 }
 
+// maxHeadBytes limits the head of a server's response.
+const maxHeadBytes = 32 << 10
+
 // newTransport returns a transport without proxies and compression. Its dial
 // errors wrap ErrNotSent.
 func newTransport(dial DialFunc, reuseConns bool) *http.Transport {
@@ -150,12 +153,13 @@
 			}
 			return conn, nil
 		},
-		DisableCompression:  true,
-		DisableKeepAlives:   !reuseConns,
-		MaxIdleConnsPerHost: 16,
-		IdleConnTimeout:     30 * time.Second,
-		ReadBufferSize:      16 << 10,
-		WriteBufferSize:     16 << 10,
+		DisableCompression:     true,
+		DisableKeepAlives:      !reuseConns,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxIdleConnsPerHost:    16,
+		IdleConnTimeout:        30 * time.Second,
+		ReadBufferSize:         16 << 10,
+		WriteBufferSize:        16 << 10,
 	}
 }
 
--- a/internal/store/etcdgw/client.go
+++ b/internal/store/etcdgw/client.go
@@ -42,6 +42,9 @@
 // maxErrorBytes bounds the body of an error response.
 const maxErrorBytes = 64 << 10
 
+// maxHeadBytes limits the head of a response.
+const maxHeadBytes = 32 << 10
+
 // maxIdleConnsPerEndpoint is small because each idle connection may be unresponsive, and
 // a call that uses such a connection times out.
 const maxIdleConnsPerEndpoint = 4
@@ -76,9 +79,10 @@
 	}
 	if o.Transport == nil {
 		o.Transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: o.Timeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            (&net.Dialer{Timeout: o.Timeout}).DialContext,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
+			IdleConnTimeout:        time.Minute,
 		}
 	}
 	if o.Metrics == nil {
