--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -75,9 +75,6 @@
 	// unreachableRetryAfter is the Retry-After of a request that this process's share does
 	// not cover although the workspace's balance may.
 	unreachableRetryAfter = 500 * time.Millisecond
-	// outOfReachRetryAfter is the Retry-After of a request that can be covered only after the
-	// workspace has paid again.
-	outOfReachRetryAfter = 30 * time.Second
 )
 
 // Options configure a Manager.
@@ -274,11 +271,6 @@
 	if !q.record.mayCover(q.localState(self), q.paid, amount) {
 		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", q.describe(now))
 	}
-	if q.record.obtainable(q.localState(self), q.paid) < amount {
-		err := unreachableError("what is left of the balance was held by processes that have ended: " + q.describe(now))
-		err.RetryAfter = outOfReachRetryAfter
-		return err
-	}
 	if q.syncedAt.After(waitStart) && q.paid-q.record.totalAllocated() < amount {
 		q.noteInsufficient(amount)
 		return unreachableError("other holders hold what is left of the balance: " + q.describe(now))
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -131,14 +131,6 @@
 // able to use at least 97% of what they paid.
 const negligibleDivisor = 33
 
-// obtainable returns the most that requests can still reserve if all owners release what they
-// have not spent. It only shrinks until the workspace pays again.
-func (r *QuotaRecord) obtainable(self localState, paid Tokens) Tokens {
-	spent := r.totalSpent() - r.shareOf(self.owner).Spent + self.spent
-	lost := r.Closed - r.ClosedSpent
-	return paid - spent - lost
-}
-
 // mayCover reports whether the balance may cover an amount. It is no guarantee: what other
 // owners have spent since they last wrote the record is not known, and of what ended processes
 // may have spent, only ClosedSpent counts as spent.
