--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -301,18 +301,23 @@
 	c.Assert(<-ended, qt.Equals, context.Canceled)
 }
 
-// Guards against a drain that aborts a stream, and against requests that are accepted
-// during the drain or refused without the verdict not-run.
-func TestDrain(t *testing.T) {
-	c := qt.New(t)
-	resume := make(chan struct{})
-	g, url := serveLoopback(t, testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
+// heldStream returns a call that sends a chunk and then waits for resume to be closed.
+func heldStream(resume <-chan struct{}) func(context.Context, *dispatch.Call, dispatch.Sink) dispatch.Outcome {
+	return func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
 		_ = s.Head(200, eventStreamHead)
 		_ = s.Data(1, chunk(1))
 		<-resume
 		_ = s.Data(0, done)
 		return ranOutcome
-	}))
+	}
+}
+
+// Guards against a drain that aborts a stream, and against requests that are accepted
+// during the drain or refused without the verdict not-run.
+func TestDrain(t *testing.T) {
+	c := qt.New(t)
+	resume := make(chan struct{})
+	g, url := serveLoopback(t, testOptions(heldStream(resume)))
 	c.Assert(send(t, "GET", url+pathReady, "").StatusCode, qt.Equals, 200)
 	stream := send(t, "POST", url+pathChat, streamBody)
 	canceled, cancel := context.WithCancel(t.Context())
@@ -336,13 +341,7 @@
 func TestShutdownKeepsResponses(t *testing.T) {
 	c := qt.New(t)
 	resume := make(chan struct{})
-	g, url := serveLoopback(t, testOptions(func(_ context.Context, _ *dispatch.Call, s dispatch.Sink) dispatch.Outcome {
-		_ = s.Head(200, eventStreamHead)
-		_ = s.Data(1, chunk(1))
-		<-resume
-		_ = s.Data(0, done)
-		return ranOutcome
-	}))
+	g, url := serveLoopback(t, testOptions(heldStream(resume)))
 	stream := send(t, "POST", url+pathChat, streamBody)
 	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
 	c.Assert(err, qt.IsNil)
