Bill idempotent service calls without a reader, and let a shutdown end while Serve returns

Change: a running call to a plain service is no longer canceled; without a reader it may take 30 s. A queued one is canceled and did not run. The second close of a listener is no error.

--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -12,6 +12,10 @@
 // without a reader. A router that lost its session reattaches within this time.
 const reattachTimeout = 3 * time.Second
 
+// serviceReaderTimeout is how long a call to a plain service may run without a reader. It is
+// longer than reattachTimeout, because a call that is stopped may have run without a bill.
+const serviceReaderTimeout = 30 * time.Second
+
 // execStream is the agent's end of a stream to a router, implemented by
 // wire.AgentStream.
 type execStream interface {
@@ -249,12 +253,12 @@
 }
 
 // cancelFromRouter stops an attempt whose caller has disconnected, unless the
-// response has another reader. A non-idempotent call to a plain service
-// continues: stopping it would not undo it, and would lose its outcome.
+// response has another reader. A running call to a plain service continues:
+// stopping it would not undo it, and would lose its outcome and its bill.
 func (a *Agent) cancelFromRouter(at *attempt) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if at.req.Kind == wire.KindService && !at.req.Idempotent {
+	if at.req.Kind == wire.KindService && at.state == stateRunning {
 		return
 	}
 	if at.response.readerCount() <= 1 {
@@ -263,7 +267,7 @@
 }
 
 // detachReader removes a reader. An attempt that has no other reader and does not
-// run detached is stopped unless a router reattaches within reattachTimeout.
+// run detached is stopped unless a router reattaches in time.
 func (a *Agent) detachReader(at *attempt, r *reader) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -273,10 +277,19 @@
 	at.reattachTimer = time.AfterFunc(reattachTimeout, func() { a.stopIfNoReader(at) })
 }
 
+// stopIfNoReader stops an attempt that has no reader. A call to a plain service that runs
+// may continue for serviceReaderTimeout.
 func (a *Agent) stopIfNoReader(at *attempt) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if at.response.readerCount() == 0 {
-		a.stopLocked(at, errRouterGone)
+	if at.response.readerCount() > 0 {
+		return
+	}
+	if at.req.Kind == wire.KindService && at.state == stateRunning {
+		if remaining := serviceReaderTimeout - time.Since(at.startedAt); remaining > 0 {
+			at.reattachTimer = time.AfterFunc(remaining, func() { a.stopIfNoReader(at) })
+			return
+		}
 	}
+	a.stopLocked(at, errRouterGone)
 }
--- a/internal/agent/standin_test.go
+++ b/internal/agent/standin_test.go
@@ -98,6 +98,48 @@
 	})
 }
 
+// Guards against a call of a plain service that ran and has no bill because its caller or its
+// router went away: stopping the call would not undo it. A queued call is canceled, and a call
+// without a reader does not occupy a slot forever.
+func TestServiceCallWithoutReaderIsBilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		standinService := service.New(service.Config{ResponseDelay: 2 * reattachTimeout})
+		runWithServer(t, wire.KindService, standinService.Handler(), func(f *fixture, _ *pipenet.Listener) {
+			canceled := f.start(serviceRequest("GET", "/stock", true))
+			lost := serviceRequest("GET", "/stock", true)
+			lostStream := f.start(lost)
+			time.Sleep(time.Second)
+			canceled.cancel <- struct{}{}
+			lostStream.disconnect()
+			<-canceled.ended
+			f.Assert(canceled.done.Verdict, qt.Equals, verdict.Ran)
+			f.Assert(canceled.done.Bill.Amount, qt.Equals, budget.Tokens(5))
+			time.Sleep(time.Second)
+			f.Assert(f.resolve(lost.Attempt, false).Done.Bill.Amount, qt.Equals, budget.Tokens(5))
+			f.Assert(standinService.Executions(), qt.HasLen, 2)
+
+			standinService.SetDelays(0, time.Hour)
+			var silent []*wire.ExecRequest
+			for range 4 {
+				req := serviceRequest("GET", "/stock", true)
+				s := f.start(req)
+				time.Sleep(time.Millisecond)
+				s.disconnect()
+				silent = append(silent, req)
+			}
+			queued := f.start(serviceRequest("GET", "/stock", true))
+			time.Sleep(time.Millisecond)
+			queued.cancel <- struct{}{}
+			<-queued.ended
+			f.Assert(queued.done.Verdict, qt.Equals, verdict.NotRun)
+			time.Sleep(serviceReaderTimeout + time.Second)
+			for _, req := range silent {
+				f.Assert(f.resolve(req.Attempt, false).Done.Verdict, qt.Equals, verdict.Unknown)
+			}
+		})
+	})
+}
+
 // historyEntry is one request of a random history.
 type historyEntry struct {
 	req    *wire.ExecRequest
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -64,7 +64,10 @@
 	if err := g.conns.Drain(ctx); err != nil {
 		return err
 	}
-	return g.server.Close()
+	if err := g.server.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err // Serve may not have returned yet; the server then closes the listener again
+	}
+	return nil
 }
 
 // Close closes the listeners and all connections at once. The contexts of calls in
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -364,6 +364,38 @@
 	c.Assert(g.Shutdown(t.Context()), qt.IsNil)
 }
 
+// lateListener reports its end only once it is released, as on a busy host.
+type lateListener struct {
+	net.Listener
+	released chan struct{}
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.released
+	}
+	return conn, err
+}
+
+// Guards against a shutdown that fails because Serve has not returned yet when the last
+// connection is closed.
+func TestShutdownWhileServeReturns(t *testing.T) {
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	listener := lateListener{inner, make(chan struct{})}
+	g := New(testOptions(heldStream(nil)))
+	served := make(chan error, 1)
+	go func() { served <- g.Serve(listener) }()
+	c.Assert(send(t, "GET", "http://"+inner.Addr().String()+pathReady, "").StatusCode, qt.Equals, 200)
+	c.Check(g.Drain(t.Context()), qt.IsNil)
+	// Server.Close waits until Serve has returned.
+	time.AfterFunc(50*time.Millisecond, func() { close(listener.released) })
+	c.Check(g.Shutdown(t.Context()), qt.IsNil)
+	c.Assert(<-served, qt.IsNil)
+}
+
 // Guards against a slow caller that never releases the memory acquired for its body, and
 // against a body that is accepted while the memory for bodies is in use.
 func TestSlowBody(t *testing.T) {
