Serve several workspaces by one quota server, and count reserved tokens as no headroom

Two thresholds counted what requests in progress had reserved as headroom: a share was due again as soon as it was written if more was reserved than free, and so was a checkpoint, every 100 ms. Change: both thresholds compare the headroom with what it was when written. Workspaces are divided into groups of 3 to 6, and a group has one quota server, so one transaction carries several records and the checkpoint. An update takes along the shares that will be due soon.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -90,7 +90,7 @@
 	})
 	g.fallback = newQuotaManager(s.Name, hex.EncodeToString(runID[:4]), st, registry, log)
 	g.reservations = reserve.NewClient(reserve.Options{
-		Gate: g.fallback.Owner(), QuotaServers: g.relayAddresses, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
+		Gate: g.fallback.Owner(), QuotaServers: g.relayAddresses, Workspaces: g.workspaces, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
 	})
 	percent, minRetries := retryLimits(s.Gate)
 	g.gate = gate.New(gate.Options{
@@ -196,6 +196,14 @@
 	return nil
 }
 
+// workspaces returns the number of configured workspaces.
+func (g *Gate) workspaces() int {
+	if c := g.gate.Catalog(); c != nil {
+		return len(c.Workspaces())
+	}
+	return 0
+}
+
 // Run runs the gate until ctx ends. It returns the first error of a component.
 func (g *Gate) Run(ctx context.Context) error {
 	server := newProbeServer(http.HandlerFunc(g.serveReady))
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -32,9 +32,11 @@
 	// the demand over excessHorizon.
 	excessHorizon = 24 * time.Second
 	minExcess     = 30000
-	// A share is updated once its headroom falls below refillPercent of what was unspent when
-	// the record was last written.
-	refillPercent = 40
+	// A share is updated once its headroom falls below refillPercent of what it was when the
+	// record was last written. An update that is made anyway includes the shares whose headroom
+	// is below earlyRefillPercent.
+	refillPercent      = 40
+	earlyRefillPercent = 70
 	// checkInterval is the time between two checks for shares that need an update, and the
 	// shortest time between two updates of the averaged demand.
 	checkInterval = 100 * time.Millisecond
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -118,13 +118,18 @@
 // usageBound returns the bound for the next checkpoint on what may be spent until another
 // one is written.
 func (p Policy) usageBound(self localState) UsageBound {
-	burst := max(self.demand*p.BurstDuration.Milliseconds()/1000, p.MinBurst)
 	return UsageBound{
-		Spent: self.spent, Burst: self.reserved + self.waiting + burst,
+		Spent: self.spent, Burst: self.reserved + self.waiting + p.burst(self),
 		Rate: max(self.demand*p.RatePercent/100, p.MinRate),
 	}
 }
 
+// burst returns what may be spent at once after a checkpoint, in addition to what was reserved
+// or waiting then.
+func (p Policy) burst(self localState) Tokens {
+	return max(self.demand*p.BurstDuration.Milliseconds()/1000, p.MinBurst)
+}
+
 // negligibleDivisor determines when a balance counts as used up: if it is at most the paid
 // amount divided by negligibleDivisor and no tokens are unallocated. It is then spread over the
 // shares of several owners or may have been spent by ended processes. Workspaces must be
--- a/internal/prepaid/quota.go
+++ b/internal/prepaid/quota.go
@@ -175,29 +175,55 @@
 	q.changed = make(chan struct{})
 }
 
-// syncDue reports whether the share must be updated now.
-func (q *quota) syncDue(now time.Time) bool {
+// urgency tells whether a share must be updated.
+type urgency uint8
+
+const (
+	notDue urgency = iota
+	// soonDue is a share that another update takes along, which saves a store call later.
+	soonDue
+	due
+)
+
+// syncUrgency returns whether the share must be updated now.
+func (q *quota) syncUrgency(now time.Time) urgency {
 	if q.corrupt != nil || !q.loaded {
-		return false
+		return notDue
 	}
 	if len(q.pendingWrites) > 0 || q.waiting > 0 && q.limit()-q.spent-q.reserved < q.waiting {
-		return true
+		return due
 	}
 	if !q.closeAt.IsZero() && now.After(q.closeAt) {
-		return true
+		return due
 	}
 	if now.Sub(q.syncedAt) < minSyncInterval {
-		return false
+		return notDue
 	}
+	headroom := q.limit() - q.spent - q.reserved
 	if q.idle(now) {
-		return q.share.Limit > q.spent+q.reserved
+		return dueIf(headroom > 0)
 	}
-	headroom := q.limit() - q.spent - q.reserved
 	if now.Sub(q.syncedAt) >= excessSyncInterval && headroom > minExcess && float64(headroom) > q.demand()*excessHorizon.Seconds() {
 		// Other owners may need what is not used here.
-		return true
+		return due
+	}
+	return q.refillUrgency(headroom)
+}
+
+// refillUrgency compares the headroom with what it was when the record was last written.
+func (q *quota) refillUrgency(headroom Tokens) urgency {
+	full := q.share.Limit - q.share.Spent - q.share.Reserved
+	if headroom >= full*refillPercent/100 && headroom < full*earlyRefillPercent/100 {
+		return soonDue
+	}
+	return dueIf(headroom < full*refillPercent/100)
+}
+
+func dueIf(condition bool) urgency {
+	if condition {
+		return due
 	}
-	return headroom < (q.share.Limit-q.share.Spent)*refillPercent/100
+	return notDue
 }
 
 // idle reports whether there was no request for idleTimeout. Another owner may serve the
@@ -206,12 +232,12 @@
 
 // checkpointDue reports whether the bounds of checkpoints withhold tokens that the share
 // allows and that requests wait for or will soon need.
-func (q *quota) checkpointDue(instant Instant) bool {
+func (q *quota) checkpointDue(policy Policy, self identity, instant Instant) bool {
 	if q.corrupt != nil || !q.loaded || q.limit() == 0 {
 		return false
 	}
 	reducedBy := q.limit() - q.limitAt(instant)
-	return reducedBy > 0 && (q.waiting > 0 || q.available(instant) < q.lastUsageBound().Burst/4)
+	return reducedBy > 0 && (q.waiting > 0 || q.available(instant) < policy.burst(q.localState(self))/4)
 }
 
 // lastUsageBound returns the bound of the newest checkpoint.
--- a/internal/prepaid/sync.go
+++ b/internal/prepaid/sync.go
@@ -119,25 +119,34 @@
 	}
 }
 
-// due returns the quotas whose shares must be updated now, and whether the checkpoint must
-// be written even if there are none. If there are more than maxRecordsPerTxn, it returns those
-// with the largest waiting amounts.
+// due returns the quotas to update now, and whether the checkpoint must be written even if
+// there are none. If the share of one must be updated, those that will be due soon are too. If
+// there are more than maxRecordsPerTxn, it returns the most urgent ones, with the largest waiting
+// amounts first.
 func (m *Manager) due(now time.Time) (batch []*quota, checkpoint bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	instant := m.opts.Clock.Now()
 	age := now.Sub(m.checkpointedAt)
+	var soon []*quota
 	for _, q := range m.quotas {
 		if now.Sub(q.averagedAt) >= checkInterval {
 			q.updateDemand(now)
 		}
-		if q.syncDue(now) {
+		switch q.syncUrgency(now) {
+		case due:
 			batch = append(batch, q)
+		case soonDue:
+			soon = append(soon, q)
 		}
-		checkpoint = checkpoint || q.checkpointDue(instant) || age >= checkpointInterval && q.spent != q.lastUsageBound().Spent
+		checkpoint = checkpoint || q.checkpointDue(m.opts.Policy, m.self, instant) || age >= checkpointInterval && q.spent != q.lastUsageBound().Spent
 	}
+	checkpoint = checkpoint || len(m.pendingCheckpointRevisions) > 0
 	slices.SortFunc(batch, func(a, b *quota) int { return cmp.Compare(b.waiting, a.waiting) })
-	return batch[:min(len(batch), maxRecordsPerTxn)], checkpoint || len(m.pendingCheckpointRevisions) > 0
+	if len(batch) > 0 || checkpoint {
+		batch = append(batch, soon...)
+	}
+	return batch[:min(len(batch), maxRecordsPerTxn)], checkpoint
 }
 
 // planFunc returns the record to write for a quota.
--- a/internal/reserve/bench_test.go
+++ b/internal/reserve/bench_test.go
@@ -45,6 +45,7 @@
 	go server.Accept(listener)
 	client := NewClient(Options{
 		Gate: "edge-domain-1/0a1b2c3d", QuotaServers: func() []string { return []string{listener.Addr().String()} },
+		Workspaces: func() int { return 1 },
 		Dial: relay.TCPDialer(), Log: log, Metrics: metrics.NewRegistry(),
 	})
 	for b.Loop() {
--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -37,6 +37,8 @@
 	Gate string
 	// QuotaServers returns the addresses of all quota servers.
 	QuotaServers func() []string
+	// Workspaces returns the number of configured workspaces.
+	Workspaces func() int
 	// Dial opens connections to quota servers.
 	Dial relay.DialFunc
 	// Fallback grants reservations in this process while no quota server replies.
@@ -99,13 +101,14 @@
 // errNoReply means that a quota server did not reply and that the next one can be tried.
 var errNoReply = errors.New("quota server did not reply")
 
-// Reserve reserves req.Bound tokens at the workspace's quota server. If that server does not
-// reply, or refuses with ReserveReply.Elsewhere set, the next server in the workspace's ranking
+// Reserve reserves req.Bound tokens at the quota server of the workspace's group. If that server does not
+// reply, or refuses with ReserveReply.Elsewhere set, the next server in the group's ranking
 // is tried, up to maxServerAttempts in all. If none replies, the fallback in this process
 // grants the reservation. The errors are those of prepaid.Manager.Reserve.
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
-	for _, address := range rankServers(req.Workspace, c.available(), maxServerAttempts) {
+	group := workspaceGroup(req.Workspace, c.opts.Workspaces())
+	for _, address := range rankServers(group, c.available(), maxServerAttempts) {
 		reservation, elsewhere, err := c.tryServer(ctx, address, req)
 		if err == nil {
 			c.stats.granted.Inc(1)
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -334,3 +334,22 @@
 	}
 	c.Assert(rankServers("w", nil, 2), qt.HasLen, 0)
 }
+
+// Workspaces must be spread over groups of a few each, at any number of workspaces, and one more
+// workspace must not move the others.
+func TestWorkspaceGroup(t *testing.T) {
+	c := qt.New(t)
+	for _, workspaces := range []int{0, 1, 10, 40, 910} {
+		sizes := make(map[string]int)
+		for i := range workspaces {
+			sizes[workspaceGroup(fmt.Sprint("workspace-", i), workspaces)]++
+		}
+		for group, size := range sizes {
+			c.Check(size <= 4*maxWorkspacesPerGroup, qt.IsTrue, qt.Commentf("group %s of %d workspaces has %d", group, workspaces, size))
+		}
+		c.Check(len(sizes)*maxWorkspacesPerGroup >= workspaces, qt.IsTrue, qt.Commentf("%d groups of %d workspaces", len(sizes), workspaces))
+	}
+	for _, workspaces := range []int{10, 24, 40} {
+		c.Check(workspaceGroup("w", workspaces+1), qt.Equals, workspaceGroup("w", workspaces))
+	}
+}
--- a/internal/reserve/simulation_test.go
+++ b/internal/reserve/simulation_test.go
@@ -135,7 +135,7 @@
 func (g *gate) start(t *testing.T, s *simulation) {
 	ctx := g.startManager(t)
 	client := NewClient(Options{
-		Gate: g.manager.Owner(), QuotaServers: s.addresses, Dial: s.dial, Fallback: g.manager, Log: discardLogger, Metrics: metrics.NewRegistry(),
+		Gate: g.manager.Owner(), QuotaServers: s.addresses, Workspaces: func() int { return 1 }, Dial: s.dial, Fallback: g.manager, Log: discardLogger, Metrics: metrics.NewRegistry(),
 	})
 	g.client = client
 	go func() { _ = client.Run(ctx) }()
@@ -198,7 +198,7 @@
 
 // firstServer returns the quota server that ranks first for the workspace.
 func (s *simulation) firstServer() *quotaServer {
-	name := rankServers("ws", s.addresses(), 1)[0]
+	name := rankServers(workspaceGroup("ws", 1), s.addresses(), 1)[0]
 	for _, server := range s.servers {
 		if server.name == name {
 			return server
