End streams with more events than declared output tokens, and endless comments

Cause: a server that sends events or comments without end kept its stream open until the deadline; events beyond the declared output were relayed although nothing is reserved for them. Change: a stream ends as broken if it has more events than declared output tokens and one, or more than 64 KiB of comments between two events.

--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -99,6 +99,24 @@
 	}
 }
 
+// A stream whose events or comments never end must be broken off before its deadline: its tokens
+// would exceed what was reserved for them, or its caller would wait in vain.
+func TestEndlessStream(t *testing.T) {
+	for name, part := range map[string]string{
+		"events":   strings.Repeat("data: x\n\n", 10),
+		"comments": strings.Repeat(": wait\n\n", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, endless(okHead+"Content-Type: text/event-stream\r\n\r\n"+formatEvents(1, 2), part))
+			got := f.request("POST", "/stream/", "Tokens", "1")
+			f.c.Assert(got.err != nil || got.status == 502, qt.IsTrue)
+			f.c.Assert(got.elapsed < time.Second, qt.IsTrue, qt.Commentf("%v", got.elapsed))
+			f.c.Assert(strings.Count(got.body, "data") <= 51, qt.IsTrue)
+			f.c.Assert(len(got.body) <= maxCommentBytes+2*streamBufferBytes, qt.IsTrue, qt.Commentf("%d bytes", len(got.body)))
+		})
+	}
+}
+
 const (
 	// endlessPeerCount is the number of endless peers at a time.
 	endlessPeerCount = 100
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -19,6 +19,8 @@
 	streamBufferBytes = 2 << 10
 	// maxEventBytes limits the size of one event.
 	maxEventBytes = 1 << 20
+	// maxCommentBytes limits the comments between two events of a stream.
+	maxCommentBytes = 64 << 10
 	// stallGaps is the multiple of the route's EventGapObjective after which a resumable
 	// stream that sends nothing is moved to another server.
 	stallGaps = 3
@@ -31,12 +33,18 @@
 	started     bool
 	lastEventID string
 	eventCount  int
+	// commentBytes is the size of the comments since the last event.
+	commentBytes int
 }
 
 var errNotContiguous = errors.New("resumed stream does not continue with the next event")
 
 var errEventTooLarge = errors.New("stream event larger than 1 MiB")
 
+// errStreamTooLong means that a server sends more than the request allows, so that the stream
+// may never end and its tokens may exceed what was reserved for them.
+var errStreamTooLong = errors.New("stream has more events than declared output tokens, or comments without events")
+
 // relayStream forwards events as they arrive. Only complete events are forwarded,
 // so that the stream can be resumed on another server if this one fails.
 func (p *proxyRequest) relayStream(conn *upstream.Conn, response *http.Response, info ResponseInfo) outcome {
@@ -63,6 +71,10 @@
 				}
 				resuming = len(events) == 0
 			}
+			if p.exceedsStream(events) {
+				conn.Discard()
+				return p.streamBroken(errStreamTooLong)
+			}
 			delivered, deliverErr := p.deliver(control, response, events)
 			if deliverErr != nil {
 				conn.Discard()
@@ -103,6 +115,16 @@
 	}
 }
 
+// exceedsStream reports whether the stream would be too long with further events. An event holds
+// at least one token, but for one that ends the stream.
+func (p *proxyRequest) exceedsStream(events []byte) bool {
+	count, _ := scanEvents(events)
+	if count == 0 {
+		return p.stream.commentBytes+len(events) > maxCommentBytes
+	}
+	return p.requestInfo.TokensDeclared && int64(p.stream.eventCount+count) > p.requestInfo.MaxOutputTokens+1
+}
+
 // stallDeadline returns when to stop waiting for the next event of a stream: at the
 // request's deadline, or, if the stream can be resumed on another server, after
 // stallGaps times EventGapObjective if that is earlier. Until the first event it waits
@@ -172,6 +194,10 @@
 		return 0, err
 	}
 	p.stream.eventCount += count
+	p.stream.commentBytes += len(events)
+	if count > 0 {
+		p.stream.commentBytes = 0
+	}
 	if lastID != "" {
 		p.stream.lastEventID = lastID
 	}
