Move the boot clock, the ranking of nodes and the RPC call to places of their own

Cause: sharing watches needs the three; the call of an RPC stood in relay and in reserve. Change: packages bootclock and rendezvous, relay.Call, relay.NewFailure and Failure.Err.

--- a/internal/prepaid/clock.go
+++ b/internal/bootclock/bootclock.go
@@ -1,4 +1,6 @@
-package prepaid
+// Package bootclock reads the clock of the host that counts from its boot and includes
+// suspension. It does not follow changes to the time of day.
+package bootclock
 
 import (
 	"errors"
@@ -39,9 +41,9 @@
 
 var errNoBootID = errors.New("boot ID of the host is empty")
 
-// NewBootClock returns the boot clock of this host. If it fails, the clock is usable, but
+// New returns the boot clock of this host. If it fails, the clock is usable, but
 // its instants have no boot ID, so Instant.Since never returns a time for them.
-func NewBootClock() (Clock, error) {
+func New() (Clock, error) {
 	raw, err := os.ReadFile(bootIDFile)
 	id := strings.TrimSpace(string(raw))
 	if err == nil && id == "" {
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -5,6 +5,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/store"
 )
@@ -16,7 +17,7 @@
 // runID is a random identifier of this run of the process; together with host it names the
 // owner of the shares in the store.
 func newQuotaManager(host, runID string, st store.KV, registry metrics.Registry, log *slog.Logger) *prepaid.Manager {
-	clock, err := prepaid.NewBootClock()
+	clock, err := bootclock.New()
 	if err != nil {
 		log.Warn("boot clock unavailable, unspent shares of earlier processes cannot be recovered", "error", err)
 	}
--- a/internal/prepaid/bench_test.go
+++ b/internal/prepaid/bench_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 )
 
 // BenchmarkCheckpoint measures the encoding of a checkpoint by the number of workspaces, and
@@ -11,7 +13,7 @@
 func BenchmarkCheckpoint(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
-			c := Checkpoint{Version: 1, Owner: "edge-domain-1/0a1b2c3d", At: Instant{"0123456789abcdef", 1 << 30}, UsageBounds: map[string]UsageBound{}}
+			c := Checkpoint{Version: 1, Owner: "edge-domain-1/0a1b2c3d", At: bootclock.Instant{Boot: "0123456789abcdef", Millis: 1 << 30}, UsageBounds: map[string]UsageBound{}}
 			for i := range n {
 				c.UsageBounds[fmt.Sprintf("workspace-%d", i)] = UsageBound{Spent: 1 << 24, Burst: 1 << 16, Rate: 1 << 14}
 			}
--- a/internal/prepaid/checkpoint.go
+++ b/internal/prepaid/checkpoint.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 )
 
 // Checkpoint is the stored record of one owner of shares: what it has spent of each workspace's
@@ -14,7 +16,7 @@
 	Version int    `json:"v"`
 	Owner   string `json:"holder"`
 	// At is when the checkpoint was made, by the boot clock of the host.
-	At Instant `json:"at"`
+	At bootclock.Instant `json:"at"`
 	// UsageBounds holds a bound for each workspace.
 	UsageBounds map[string]UsageBound `json:"rows"`
 }
@@ -56,7 +58,7 @@
 // time that the next process of its host started. The most is the limit of the share if there
 // is no checkpoint of that owner, if the checkpoint has no bound for the workspace, or if the
 // time since the checkpoint is not known, for example because the host was rebooted.
-func (c *Checkpoint) spentBounds(share Share, workspace string, start Instant) (maxSpent, minSpent Tokens) {
+func (c *Checkpoint) spentBounds(share Share, workspace string, start bootclock.Instant) (maxSpent, minSpent Tokens) {
 	maxSpent, minSpent = share.Limit, share.Spent
 	if c == nil || c.Owner != share.Owner {
 		return maxSpent, minSpent
@@ -75,7 +77,7 @@
 // checkpointBound is a bound of a checkpoint that may be in the store.
 type checkpointBound struct {
 	bound UsageBound
-	at    Instant
+	at    bootclock.Instant
 	// absent is set if the checkpoint has no bound for the workspace. It then limits nothing,
 	// because a successor counts the whole limit of the share as spent.
 	absent bool
@@ -83,7 +85,7 @@
 
 // maxSpentAt returns the most that may be spent in total by an instant, and false if the
 // checkpoint has no bound for the workspace.
-func (b checkpointBound) maxSpentAt(now Instant) (Tokens, bool) {
+func (b checkpointBound) maxSpentAt(now bootclock.Instant) (Tokens, bool) {
 	if b.absent {
 		return 0, false
 	}
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 	"github.com/monsoonworks/monsoonworks/internal/store"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
@@ -85,8 +86,8 @@
 	Owner string
 	// Prefix is the prefix of all keys of records and checkpoints in the store.
 	Prefix string
-	// Clock is the clock of the host; see NewBootClock.
-	Clock   Clock
+	// Clock is the clock of the host; see bootclock.New.
+	Clock   bootclock.Clock
 	Store   store.KV
 	Policy  Policy
 	Log     *slog.Logger
@@ -263,7 +264,7 @@
 // refusal returns an error if waiting longer cannot help, nil otherwise. Too few unallocated
 // tokens are a reason only if there was a sync after waitStart, or if waitStart is before
 // insufficientUntil. Otherwise other owners may have released tokens meanwhile.
-func (q *quota) refusal(self identity, now Instant, amount Tokens, waitStart time.Time) *verdict.Error {
+func (q *quota) refusal(self identity, now bootclock.Instant, amount Tokens, waitStart time.Time) *verdict.Error {
 	if q.corrupt != nil {
 		return unreachableError("the workspace's account cannot be read")
 	}
@@ -305,7 +306,7 @@
 }
 
 // describe returns the amounts that decide about a request, for the refusal detail.
-func (q *quota) describe(now Instant) string {
+func (q *quota) describe(now bootclock.Instant) string {
 	others := q.record.totalAllocated() - q.record.Closed - q.record.shareOf(q.share.Owner).Limit
 	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended holders %d of which spent %d, account read %s",
 		q.paid, q.spent, q.reserved, q.limit(), q.limitAt(now), others, q.record.Closed, q.record.ClosedSpent, q.recordAge())
--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -1,6 +1,10 @@
 package prepaid
 
-import "time"
+import (
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
+)
 
 // Policy determines the size of shares and the bounds in checkpoints. The headroom of a share
 // is the part of its limit that is neither spent nor reserved.
@@ -41,7 +45,7 @@
 	owner, workspace string
 	// start is when the process started. prev is the checkpoint of the host's previous
 	// process, nil if there is none.
-	start Instant
+	start bootclock.Instant
 	prev  *Checkpoint
 	// spent is the settled amount, reserved the amount of requests in progress.
 	spent, reserved Tokens
--- a/internal/prepaid/quota.go
+++ b/internal/prepaid/quota.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 )
 
 // The demand of a share is the higher of two moving averages with these time constants, so
@@ -21,7 +23,7 @@
 // identity is the name and the start of this process, and its predecessor's checkpoint.
 type identity struct {
 	owner string
-	start Instant
+	start bootclock.Instant
 	// prev is the checkpoint of the host's previous process, nil if there is none.
 	prev *Checkpoint
 }
@@ -77,7 +79,7 @@
 
 // limitAt returns the most that this process may have spent in total by now, whatever the
 // outcome of its pending writes is.
-func (q *quota) limitAt(now Instant) Tokens {
+func (q *quota) limitAt(now bootclock.Instant) Tokens {
 	limit := q.limit()
 	for _, b := range q.checkpointBounds {
 		if maxSpent, ok := b.maxSpentAt(now); ok {
@@ -99,10 +101,10 @@
 }
 
 // available returns the amount that a new request can reserve.
-func (q *quota) available(now Instant) Tokens { return q.limitAt(now) - q.spent - q.reserved }
+func (q *quota) available(now bootclock.Instant) Tokens { return q.limitAt(now) - q.spent - q.reserved }
 
 // reserve reserves an amount if it is available.
-func (q *quota) reserve(amount Tokens, now Instant) bool {
+func (q *quota) reserve(amount Tokens, now bootclock.Instant) bool {
 	if q.available(now) < amount {
 		return false
 	}
@@ -232,7 +234,7 @@
 
 // checkpointDue reports whether the bounds of checkpoints withhold tokens that the share
 // allows and that requests wait for or will soon need.
-func (q *quota) checkpointDue(policy Policy, self identity, instant Instant) bool {
+func (q *quota) checkpointDue(policy Policy, self identity, instant bootclock.Instant) bool {
 	if q.corrupt != nil || !q.loaded || q.limit() == 0 {
 		return false
 	}
--- a/internal/prepaid/record.go
+++ b/internal/prepaid/record.go
@@ -29,6 +29,8 @@
 	"strings"
 
 	"github.com/ansel1/merry/v2"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 )
 
 // Tokens is an amount of tokens.
@@ -178,7 +180,7 @@
 // closePredecessors closes the shares of earlier processes on the owner's host. They ended
 // before this process started. The most that they can have spent counts as spent. prev is
 // the checkpoint of the previous process, nil if there is none.
-func (r *QuotaRecord) closePredecessors(owner string, start Instant, workspace string, prev *Checkpoint) {
+func (r *QuotaRecord) closePredecessors(owner string, start bootclock.Instant, workspace string, prev *Checkpoint) {
 	r.Shares = slices.DeleteFunc(r.Shares, func(s Share) bool {
 		if s.Owner == owner || !sameHost(s.Owner, owner) {
 			return false
--- a/internal/prepaid/record_test.go
+++ b/internal/prepaid/record_test.go
@@ -5,32 +5,34 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 )
 
 // Guards against a successor that reclaims tokens that its predecessor may have spent.
 func TestSpentBounds(t *testing.T) {
 	c := qt.New(t)
 	share := Share{Owner: "h/1", Limit: 1000, Spent: 100}
-	checkpoint := &Checkpoint{Version: 1, Owner: "h/1", At: Instant{"b", 5000}, UsageBounds: map[string]UsageBound{"ws": {Spent: 200, Burst: 50, Rate: 100}}}
+	checkpoint := &Checkpoint{Version: 1, Owner: "h/1", At: bootclock.Instant{Boot: "b", Millis: 5000}, UsageBounds: map[string]UsageBound{"ws": {Spent: 200, Burst: 50, Rate: 100}}}
 	for _, test := range []struct {
 		name               string
 		checkpoint         *Checkpoint
-		start              Instant
+		start              bootclock.Instant
 		maxSpent, minSpent Tokens
 	}{
-		{"same boot", checkpoint, Instant{"b", 7000}, 450, 200},
-		{"never above the limit", checkpoint, Instant{"b", 900_000}, 1000, 200},
-		{"other boot", checkpoint, Instant{"c", 7000}, 1000, 200},
-		{"clock went backwards", checkpoint, Instant{"b", 4000}, 1000, 200},
-		{"unknown boot", checkpoint, Instant{"", 7000}, 1000, 200},
-		{"other process", &Checkpoint{Owner: "h/0", At: checkpoint.At, UsageBounds: checkpoint.UsageBounds}, Instant{"b", 7000}, 1000, 100},
-		{"no checkpoint", nil, Instant{"b", 7000}, 1000, 100},
+		{"same boot", checkpoint, bootclock.Instant{Boot: "b", Millis: 7000}, 450, 200},
+		{"never above the limit", checkpoint, bootclock.Instant{Boot: "b", Millis: 900_000}, 1000, 200},
+		{"other boot", checkpoint, bootclock.Instant{Boot: "c", Millis: 7000}, 1000, 200},
+		{"clock went backwards", checkpoint, bootclock.Instant{Boot: "b", Millis: 4000}, 1000, 200},
+		{"unknown boot", checkpoint, bootclock.Instant{Boot: "", Millis: 7000}, 1000, 200},
+		{"other process", &Checkpoint{Owner: "h/0", At: checkpoint.At, UsageBounds: checkpoint.UsageBounds}, bootclock.Instant{Boot: "b", Millis: 7000}, 1000, 100},
+		{"no checkpoint", nil, bootclock.Instant{Boot: "b", Millis: 7000}, 1000, 100},
 	} {
 		maxSpent, minSpent := test.checkpoint.spentBounds(share, "ws", test.start)
 		c.Assert(maxSpent, qt.Equals, test.maxSpent, qt.Commentf("%s", test.name))
 		c.Assert(minSpent, qt.Equals, test.minSpent, qt.Commentf("%s", test.name))
 	}
-	maxSpent, _ := checkpoint.spentBounds(share, "other", Instant{"b", 7000})
+	maxSpent, _ := checkpoint.spentBounds(share, "other", bootclock.Instant{Boot: "b", Millis: 7000})
 	c.Assert(maxSpent, qt.Equals, Tokens(1000))
 }
 
@@ -52,7 +54,7 @@
 // Guards against spending more than either outcome of a pending write allows.
 func TestPendingWritesLimitBothWays(t *testing.T) {
 	c := qt.New(t)
-	now := Instant{"b", 1000}
+	now := bootclock.Instant{Boot: "b", Millis: 1000}
 	q := newQuota("ws", time.Time{})
 	q.applyRecord(QuotaRecord{Version: 1, Shares: []Share{{Owner: "h/1", Limit: 100}}}, 5, "h/1")
 	q.pendingWrites = []pendingWrite{{share: Share{Limit: 500}, baseRevision: 5}}
@@ -60,7 +62,7 @@
 	q.pendingWrites = []pendingWrite{{share: Share{Limit: 30}, baseRevision: 5}}
 	c.Assert(q.limitAt(now), qt.Equals, Tokens(30))
 	q.checkpointBounds = []checkpointBound{{bound: UsageBound{Spent: 10, Burst: 5, Rate: 10}, at: now}}
-	c.Assert(q.limitAt(Instant{"b", 2000}), qt.Equals, Tokens(25))
+	c.Assert(q.limitAt(bootclock.Instant{Boot: "b", Millis: 2000}), qt.Equals, Tokens(25))
 	q.applyRecord(QuotaRecord{Version: 1, Shares: []Share{{Owner: "h/1", Limit: 100}}}, 5, "h/1")
 	c.Assert(q.pendingWrites, qt.HasLen, 1)
 	q.applyRecord(QuotaRecord{Version: 1, Shares: []Share{{Owner: "h/1", Limit: 100}}}, 6, "h/1")
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 )
@@ -25,8 +26,8 @@
 	base time.Time
 }
 
-func (c *testClock) Now() Instant {
-	return Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
+func (c *testClock) Now() bootclock.Instant {
+	return bootclock.Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
 }
 
 // testHost is a host that runs one quota server process at a time.
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -47,9 +47,9 @@
 	Text string
 }
 
-// newFailure encodes an error. One that wraps none of the errors in codedErrors is encoded as
+// NewFailure encodes an error. One that wraps none of the errors in codedErrors is encoded as
 // CodeUnknownOutcome.
-func newFailure(err error) Failure {
+func NewFailure(err error) Failure {
 	if err == nil {
 		return Failure{}
 	}
@@ -61,8 +61,8 @@
 	return Failure{Code: CodeUnknownOutcome, Text: err.Error()}
 }
 
-// toError decodes the failure. It returns nil for CodeNone, which means success.
-func (f Failure) toError() error {
+// Err decodes the failure. It returns nil for CodeNone, which means success.
+func (f Failure) Err() error {
 	if f.Code == CodeNone {
 		return nil
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -78,3 +78,16 @@
 	defer p.mu.Unlock()
 	return !time.Now().Before(p.backoffUntil[address])
 }
+
+// Call makes one RPC. If it fails, the peer may still have executed it.
+func Call(ctx context.Context, client *rpc.Client, method string, timeout time.Duration, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	pending := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+		return pending.Error
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -107,7 +107,7 @@
 	defer RecoverCall(s.log, "get", &err)
 	entry, callErr := s.store.Get(s.ctx, args.Key)
 	s.noteCall("get", args.Key, callErr)
-	reply.Entry, reply.Failure = entry, newFailure(callErr)
+	reply.Entry, reply.Failure = entry, NewFailure(callErr)
 	return nil
 }
 
@@ -116,7 +116,7 @@
 	defer RecoverCall(s.log, "list", &err)
 	snapshot, callErr := s.store.List(s.ctx, args.Prefix)
 	s.noteCall("list", args.Prefix, callErr)
-	reply.Snapshot, reply.Failure = snapshot, newFailure(callErr)
+	reply.Snapshot, reply.Failure = snapshot, NewFailure(callErr)
 	return nil
 }
 
@@ -125,7 +125,7 @@
 	defer RecoverCall(s.log, "commit", &err)
 	result, callErr := s.store.Commit(s.ctx, args.Txn)
 	s.noteCall("commit", "", callErr)
-	reply.Result, reply.Failure = result, newFailure(callErr)
+	reply.Result, reply.Failure = result, NewFailure(callErr)
 	return nil
 }
 
@@ -134,7 +134,7 @@
 	defer RecoverCall(s.log, "next", &err)
 	batch := s.store.Next(s.ctx, args.Prefix, args.Revision)
 	s.noteCall("next", args.Prefix, batch.Err)
-	reply.Events, reply.Revision, reply.Failure = batch.Events, batch.Revision, newFailure(batch.Err)
+	reply.Events, reply.Revision, reply.Failure = batch.Events, batch.Revision, NewFailure(batch.Err)
 	return nil
 }
 
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -71,7 +71,7 @@
 			return err
 		}
 		entry = reply.Entry
-		return reply.Failure.toError()
+		return reply.Failure.Err()
 	})
 	return entry, err
 }
@@ -105,7 +105,7 @@
 			return err
 		}
 		snapshot = reply.Snapshot
-		return reply.Failure.toError()
+		return reply.Failure.Err()
 	})
 	return snapshot, err
 }
@@ -123,7 +123,7 @@
 			return err
 		}
 		result = reply.Result
-		return reply.Failure.toError()
+		return reply.Failure.Err()
 	})
 	return result, err
 }
@@ -147,7 +147,7 @@
 			return err
 		}
 		batch = store.WatchBatch{Events: reply.Events, Revision: reply.Revision}
-		return reply.Failure.toError()
+		return reply.Failure.Err()
 	})
 	if err != nil {
 		return store.WatchBatch{Err: err}
@@ -272,21 +272,9 @@
 // call makes one RPC to a relay. If the relay does not reply, it may still have executed the
 // call.
 func call(ctx context.Context, client *rpc.Client, method string, timeout time.Duration, args, reply any) error {
-	pending := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-pending.Done:
-		if errors.Is(pending.Error, rpc.ErrShutdown) {
-			return fmt.Errorf("%w: connection to the relay closed", store.ErrUnknownOutcome)
-		}
-		if pending.Error != nil {
-			return fmt.Errorf("%w: relay: %w", store.ErrUnknownOutcome, pending.Error)
-		}
-		return nil
-	case <-timer.C:
-		return fmt.Errorf("%w: relay timed out", store.ErrUnknownOutcome)
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", store.ErrUnknownOutcome, ctx.Err())
+	err := Call(ctx, client, serviceName+"."+method, timeout, args, reply)
+	if err != nil {
+		return fmt.Errorf("%w: relay: %w", store.ErrUnknownOutcome, err)
 	}
+	return nil
 }
--- a/internal/reserve/bench_test.go
+++ b/internal/reserve/bench_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/relay"
+	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 )
 
 // BenchmarkRankServers measures the ranking by the number of quota servers.
@@ -23,7 +24,7 @@
 				servers[i] = fmt.Sprintf("10.%d.0.%d:7000", i/200, i%200)
 			}
 			for b.Loop() {
-				rankServers("workspace-7", servers, maxServerAttempts)
+				rendezvous.Rank("workspace-7", servers, maxServerAttempts)
 			}
 		})
 	}
@@ -46,7 +47,7 @@
 	client := NewClient(Options{
 		Gate: "edge-domain-1/0a1b2c3d", QuotaServers: func() []string { return []string{listener.Addr().String()} },
 		Workspaces: func() int { return 1 },
-		Dial: relay.TCPDialer(), Log: log, Metrics: metrics.NewRegistry(),
+		Dial:       relay.TCPDialer(), Log: log, Metrics: metrics.NewRegistry(),
 	})
 	for b.Loop() {
 		r, err := client.Reserve(b.Context(), prepaid.ReservationRequest{Workspace: "workspace-7", Paid: 1 << 40, Bound: 9000})
--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"net/rpc"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/relay"
+	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -108,7 +108,7 @@
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
 	group := workspaceGroup(req.Workspace, c.opts.Workspaces())
-	for _, address := range rankServers(group, c.available(), maxServerAttempts) {
+	for _, address := range rendezvous.Rank(group, c.available(), maxServerAttempts) {
 		reservation, elsewhere, err := c.tryServer(ctx, address, req)
 		if err == nil {
 			c.stats.granted.Inc(1)
@@ -153,7 +153,7 @@
 	remote := &remoteReservation{client: c, address: address, number: c.lastNumber.Add(1)}
 	args := &ReserveArgs{ID: ID{Gate: c.opts.Gate, Number: remote.number}, Claim: req, Settled: c.queue.take(address)}
 	var reply ReserveReply
-	if err := call(ctx, client, "Reserve", reserveTimeout, args, &reply); err != nil {
+	if err := relay.Call(ctx, client, ServiceName+".Reserve", reserveTimeout, args, &reply); err != nil {
 		// The server may have granted the reservation and applied the settlements.
 		c.queue.add(address, args.Settled...)
 		remote.Settle(0)
@@ -175,16 +175,3 @@
 	c.opts.Log.Warn("quota server did not reply, in backoff", "holder", address, "after_ms", time.Since(start).Milliseconds(), "error", err)
 	return fmt.Errorf("%w: %w", errNoReply, err)
 }
-
-// call makes one RPC. If it fails, the server may still have executed it.
-func call(ctx context.Context, client *rpc.Client, method string, timeout time.Duration, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	pending := client.Go(ServiceName+"."+method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-pending.Done:
-		return pending.Error
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
@@ -317,22 +318,22 @@
 	counts := make(map[string]int)
 	for i := range 1000 {
 		workspace := fmt.Sprint("workspace-", i)
-		ranked := rankServers(workspace, slices.Clone(servers), 2)
+		ranked := rendezvous.Rank(workspace, slices.Clone(servers), 2)
 		reversed := slices.Clone(servers)
 		slices.Reverse(reversed)
-		c.Assert(rankServers(workspace, reversed, 2), qt.DeepEquals, ranked)
+		c.Assert(rendezvous.Rank(workspace, reversed, 2), qt.DeepEquals, ranked)
 		without := slices.DeleteFunc(slices.Clone(servers), func(server string) bool { return server == servers[0] })
 		if ranked[0] == servers[0] {
-			c.Assert(rankServers(workspace, without, 1)[0], qt.Equals, ranked[1])
+			c.Assert(rendezvous.Rank(workspace, without, 1)[0], qt.Equals, ranked[1])
 		} else {
-			c.Assert(rankServers(workspace, without, 1)[0], qt.Equals, ranked[0])
+			c.Assert(rendezvous.Rank(workspace, without, 1)[0], qt.Equals, ranked[0])
 		}
 		counts[ranked[0]]++
 	}
 	for server, n := range counts {
 		c.Assert(n > 150 && n < 250, qt.IsTrue, qt.Commentf("%s serves %d of 1000", server, n))
 	}
-	c.Assert(rankServers("w", nil, 2), qt.HasLen, 0)
+	c.Assert(rendezvous.Rank("w", nil, 2), qt.HasLen, 0)
 }
 
 // Workspaces must be spread over groups of a few each, at any number of workspaces, and one more
--- a/internal/reserve/settlements.go
+++ b/internal/reserve/settlements.go
@@ -113,7 +113,7 @@
 	}
 	client, err := q.pool.Client(ctx, address)
 	if err == nil {
-		err = call(ctx, client, "Settle", settleTimeout, &SettleArgs{Gate: q.gate, Settled: pending.settlements}, &SettleReply{})
+		err = relay.Call(ctx, client, ServiceName+".Settle", settleTimeout, &SettleArgs{Gate: q.gate, Settled: pending.settlements}, &SettleReply{})
 	}
 	if err != nil {
 		q.pool.MarkFailed(address)
--- a/internal/reserve/simulation_test.go
+++ b/internal/reserve/simulation_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonworks/monsoonworks/internal/bootclock"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
@@ -32,8 +34,8 @@
 	base time.Time
 }
 
-func (c *testClock) Now() prepaid.Instant {
-	return prepaid.Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
+func (c *testClock) Now() bootclock.Instant {
+	return bootclock.Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
 }
 
 // testHost is the host of a gate or of a quota server. It runs one process at a time.
@@ -198,7 +200,7 @@
 
 // firstServer returns the quota server that ranks first for the workspace.
 func (s *simulation) firstServer() *quotaServer {
-	name := rankServers(workspaceGroup("ws", 1), s.addresses(), 1)[0]
+	name := rendezvous.Rank(workspaceGroup("ws", 1), s.addresses(), 1)[0]
 	for _, server := range s.servers {
 		if server.name == name {
 			return server
