Share watches of the store between the gates of a failure domain

Servers that register one after the other at the start made each gate poll five times a second. Change: package watchcache. A relay of the domain, the first in rendezvous order, watches on behalf of its gates and keeps the last changes; a gate asks it, the next one if it fails, and the store itself if that takes longer than a poll. Replies carry the age of the copy, by the boot clock; too old ones are not used. A relay with fewer than four gates tells them to watch alone. The mirror waits before the next poll, not after the batch, so a change waits for one delay at most instead of two; until the entries have settled the delay is 0.8 s. A canceled call says nothing about the direct path.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -28,6 +28,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/reserve"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
+	"github.com/monsoonworks/monsoonworks/internal/watchcache"
 	"github.com/monsoonworks/monsoonworks/platform"
 )
 
@@ -59,7 +60,7 @@
 	// relays holds the addresses of the relays. relaysMutex serializes updateRelays, so that
 	// a result from an older configuration cannot replace a newer one.
 	relaysMutex sync.Mutex
-	relays      atomic.Pointer[[]string]
+	relays      atomic.Pointer[relayAddresses]
 
 	log          *slog.Logger
 	registry     metrics.Registry
@@ -75,6 +76,9 @@
 	serverMirror *mirror.Mirror
 }
 
+// relayAddresses are the addresses of all relays, and of those in the gate's failure domain.
+type relayAddresses struct{ all, domain []string }
+
 // NewGate returns a gate with open listeners. Run starts it.
 func NewGate(s settings.Settings, registry metrics.Registry, log *slog.Logger) (*Gate, error) {
 	runID, err := uuid.NewRandom()
@@ -86,11 +90,11 @@
 	g.pool = upstream.NewPool(&overload.CountingDialer{Dialer: net.Dialer{KeepAlive: -1}, Detector: g.overload}, registry)
 	st := relay.NewStore(relay.Options{
 		Direct: platform.NewStore(platform.StoreOptions{Address: s.Gate.Store, Metrics: registry}),
-		Relays: g.relayAddresses, Log: log, Metrics: registry,
+		Relays: g.allRelays, Log: log, Metrics: registry,
 	})
-	g.fallback = newQuotaManager(s.Name, hex.EncodeToString(runID[:4]), st, registry, log)
+	g.fallback = newQuotaManager(s.Name, hex.EncodeToString(runID[:4]), newBootClock(log), st, registry, log)
 	g.reservations = reserve.NewClient(reserve.Options{
-		Gate: g.fallback.Owner(), QuotaServers: g.relayAddresses, Workspaces: g.workspaces, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
+		Gate: g.fallback.Owner(), QuotaServers: g.allRelays, Workspaces: g.workspaces, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
 	})
 	percent, minRetries := retryLimits(s.Gate)
 	g.gate = gate.New(gate.Options{
@@ -100,9 +104,12 @@
 		MaxBufferedBytes: int64(s.Gate.MemoryMB) << 20 / bufferMemoryDivisor,
 		Overload:         g.overload, Log: log, Metrics: registry,
 	})
-	g.configMirror = mirror.New(mirror.Options{Prefix: platform.ConfigPrefix, Store: st, OnChange: g.applyConfig, Log: log})
+	watches := watchcache.NewClient(watchcache.ClientOptions{
+		Gate: g.fallback.Owner(), Domain: s.Domain, Servers: g.domainRelays, Direct: st, Dial: relay.TCPDialer(), Log: log, Metrics: registry,
+	})
+	g.configMirror = mirror.New(mirror.Options{Prefix: platform.ConfigPrefix, Store: watches, OnChange: g.applyConfig, Log: log})
 	g.serverMirror = mirror.New(mirror.Options{
-		Prefix: platform.ServerPrefix, Store: st, OnChange: g.applyServers, Log: log,
+		Prefix: platform.ServerPrefix, Store: watches, OnChange: g.applyServers, Log: log,
 		DeletionGrace: s.Gate.ServerReturn.Std(),
 	})
 	return g, g.listen()
@@ -173,7 +180,7 @@
 	defer g.relaysMutex.Unlock()
 	c := g.gate.Catalog()
 	port := uint16(g.current.Load().Gate.RelayPort)
-	var addresses []string
+	var addresses relayAddresses
 	for _, s := range g.servers.NotDraining() {
 		if c == nil || port == 0 {
 			break
@@ -183,15 +190,28 @@
 		if err != nil || service == nil || service.Engine == nil {
 			continue
 		}
-		addresses = append(addresses, netip.AddrPortFrom(address.Addr(), port).String())
+		relay := netip.AddrPortFrom(address.Addr(), port).String()
+		addresses.all = append(addresses.all, relay)
+		if s.Domain == g.settings.Domain {
+			addresses.domain = append(addresses.domain, relay)
+		}
 	}
 	g.relays.Store(&addresses)
 }
 
-// relayAddresses returns the addresses of the relays. The slice must not be changed.
-func (g *Gate) relayAddresses() []string {
+// allRelays returns the addresses of all relays. The slice must not be changed.
+func (g *Gate) allRelays() []string {
+	if relays := g.relays.Load(); relays != nil {
+		return relays.all
+	}
+	return nil
+}
+
+// domainRelays returns the addresses of the relays in the gate's failure domain. The slice must
+// not be changed.
+func (g *Gate) domainRelays() []string {
 	if relays := g.relays.Load(); relays != nil {
-		return *relays
+		return relays.domain
 	}
 	return nil
 }
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -15,11 +16,12 @@
 	"github.com/monsoonworks/monsoonworks/internal/relay"
 	"github.com/monsoonworks/monsoonworks/internal/reserve"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/watchcache"
 	"github.com/monsoonworks/monsoonworks/platform"
 )
 
-// Relay is a relay process. It proxies store calls of gates and, as a quota server, grants
-// the reservations that gates request.
+// Relay is a relay process. It proxies store calls of gates, watches the store on behalf of the
+// gates of its failure domain and, as a quota server, grants the reservations that gates request.
 type Relay struct {
 	settings    settings.Settings
 	store       relay.PollingStore
@@ -27,6 +29,7 @@
 	metrics     metrics.Registry
 	log         *slog.Logger
 	quotaServer *reserve.Server
+	watches     *watchcache.Server
 	cancelCalls context.CancelFunc // aborts calls in progress
 	rpcServer   *relay.Server
 }
@@ -41,14 +44,23 @@
 		settings: s, metrics: registry, log: log,
 		store: platform.NewStore(platform.StoreOptions{Address: s.Relay.Store, Metrics: registry}),
 	}
-	r.quotas = newQuotaManager(s.Name, hex.EncodeToString(runID[:4]), r.store, registry, log)
+	clock := newBootClock(log)
+	r.quotas = newQuotaManager(s.Name, hex.EncodeToString(runID[:4]), clock, r.store, registry, log)
 	var calls context.Context
 	calls, r.cancelCalls = context.WithCancel(context.Background())
 	r.quotaServer = reserve.NewServer(calls, r.quotas, registry, log)
+	r.watches = watchcache.NewServer(calls, watchcache.ServerOptions{
+		Prefixes: []string{platform.ConfigPrefix, platform.ServerPrefix},
+		Store:    platform.NewStore(platform.StoreOptions{Address: s.Relay.Store, PollWait: watchcache.PollWait, Metrics: registry}),
+		Clock:    clock, Log: log, Metrics: registry,
+	})
 	if r.rpcServer, err = relay.NewServer(calls, r.store, registry, log); err != nil {
 		return nil, err
 	}
-	return r, r.rpcServer.Register(reserve.ServiceName, r.quotaServer)
+	return r, errors.Join(
+		r.rpcServer.Register(reserve.ServiceName, r.quotaServer),
+		r.rpcServer.Register(watchcache.ServiceName, r.watches),
+	)
 }
 
 // Run serves gates until ctx ends. It returns the first error of a component.
@@ -62,6 +74,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return r.quotas.Run(ctx) })
 	group.Go(func() error { return r.quotaServer.Run(ctx) })
+	group.Go(func() error { return r.watches.Run(ctx) })
 	group.Go(func() error {
 		stop := func() { _ = listener.Close() } // ends Serve
 		return runUntil(ctx, func() error { return r.rpcServer.Serve(listener) }, stop)
@@ -79,6 +92,7 @@
 func (r *Relay) Drain(ctx context.Context) error {
 	settleCtx, cancel := context.WithTimeout(ctx, r.settings.DrainTimeout.Std()-quotaReleaseTime)
 	defer cancel()
+	r.watches.Drain()
 	r.quotaServer.Drain(settleCtx)
 	if err := r.quotas.Close(ctx); err != nil {
 		r.log.Warn("releasing quota shares failed", "error", err)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,8 +23,11 @@
 	maxBackoff = 800 * time.Millisecond
 	// batchDelay is the delay after a batch of changes before the next one is received.
 	// Changes made in the meantime then arrive in fewer batches, each of which costs a
-	// call to the store.
-	batchDelay = 200 * time.Millisecond
+	// call to the store. startBatchDelay is the delay until the keys have first been unchanged
+	// for settleTime: owners that start together write their keys within seconds.
+	batchDelay      = 200 * time.Millisecond
+	startBatchDelay = 800 * time.Millisecond
+	settleTime      = time.Second
 )
 
 // State is a copy of the keys under a prefix.
@@ -36,8 +39,11 @@
 
 // Store is the part of the store that a Mirror uses.
 type Store interface {
-	store.KV
-	store.Watcher
+	// List is as in store.KV.
+	List(ctx context.Context, prefix string) (store.Snapshot, error)
+	// Next waits for changes under prefix after revision, for a time that the store limits.
+	// A batch without events means that there were no changes.
+	Next(ctx context.Context, prefix string, revision int64) store.WatchBatch
 }
 
 // Options configure a Mirror.
@@ -64,6 +70,10 @@
 	connected     bool                 // the last call to the store succeeded
 	reconnectedAt time.Time            // zero if the connection was never lost
 	deferred      map[string]time.Time // keys with a deferred deletion, and since when
+	// changedAt is when changes last arrived. settled is set once the keys have been unchanged for
+	// settleTime. Only next uses them.
+	changedAt time.Time
+	settled   bool
 }
 
 // New returns a mirror with an empty state.
@@ -125,7 +135,7 @@
 }
 
 // listAndWatch watches the prefix from the current revision. It lists the prefix
-// first if it was never listed, and again if the revision was compacted. It returns
+// first if it was never listed, and again if there is no watch from the revision. It returns
 // at the first failed call.
 func (m *Mirror) listAndWatch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -140,7 +150,7 @@
 		if !errors.Is(err, store.ErrCompacted) {
 			return err
 		}
-		m.opts.Log.Info("store revision compacted, listing the prefix again", "prefix", m.opts.Prefix)
+		m.opts.Log.Info("no watch from the current revision, listing the prefix again", "prefix", m.opts.Prefix)
 		if err := m.list(ctx); err != nil {
 			return err
 		}
@@ -164,10 +174,15 @@
 func (m *Mirror) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	batches, err := m.opts.Store.Watch(ctx, m.opts.Prefix, m.State().Revision)
-	if err != nil {
-		return err
-	}
+	changed := false
+	batches := store.WatchByPolling(ctx, m.State().Revision, func(ctx context.Context, revision int64) store.WatchBatch {
+		if changed && !sleep(ctx, m.delay()) {
+			return store.WatchBatch{Err: ctx.Err()}
+		}
+		batch := m.next(ctx, revision)
+		changed = len(batch.Events) > 0
+		return batch
+	})
 	ticker := time.NewTicker(max(m.opts.DeletionGrace/4, minBackoff))
 	defer ticker.Stop()
 	for {
@@ -181,15 +196,36 @@
 			}
 			m.setConnected()
 			m.apply(batch)
-			if len(batch.Events) > 0 && !sleep(ctx, batchDelay) {
-				return ctx.Err()
-			}
 		case <-ticker.C:
 			m.applyDeferred(time.Now())
 		}
 	}
 }
 
+// next waits for changes and notes whether the keys have settled.
+func (m *Mirror) next(ctx context.Context, revision int64) store.WatchBatch {
+	if m.changedAt.IsZero() {
+		m.changedAt = time.Now()
+	}
+	batch := m.opts.Store.Next(ctx, m.opts.Prefix, revision)
+	if batch.Err != nil {
+		return batch
+	}
+	m.settled = m.settled || time.Since(m.changedAt) >= settleTime
+	if len(batch.Events) > 0 {
+		m.changedAt = time.Now()
+	}
+	return batch
+}
+
+// delay returns the delay after a batch of changes.
+func (m *Mirror) delay() time.Duration {
+	if m.settled {
+		return batchDelay
+	}
+	return startBatchDelay
+}
+
 func (m *Mirror) setConnected() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -24,24 +24,22 @@
 	mem *memstore.Store
 }
 
-func (s *pollingStore) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
-	return store.WatchByPolling(ctx, from, func(ctx context.Context, revision int64) store.WatchBatch {
-		if err := s.Controls.Enter(ctx, faultstore.Watch); err != nil {
-			return store.WatchBatch{Err: err}
-		}
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		batches, err := s.mem.Watch(ctx, prefix, revision)
-		if err != nil {
-			return store.WatchBatch{Err: err}
-		}
-		batch := <-batches
-		if s.Controls.Down() {
-			return store.WatchBatch{Err: store.ErrUnavailable}
-		}
-		batch.Revision = max(batch.Revision, revision)
-		return batch
-	}), nil
+func (s *pollingStore) Next(ctx context.Context, prefix string, revision int64) store.WatchBatch {
+	if err := s.Controls.Enter(ctx, faultstore.Watch); err != nil {
+		return store.WatchBatch{Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	batches, err := s.mem.Watch(ctx, prefix, revision)
+	if err != nil {
+		return store.WatchBatch{Err: err}
+	}
+	batch := <-batches
+	if s.Controls.Down() {
+		return store.WatchBatch{Err: store.ErrUnavailable}
+	}
+	batch.Revision = max(batch.Revision, revision)
+	return batch
 }
 
 // fixture is a running Mirror of an in-memory store that records the revisions of
@@ -112,6 +110,31 @@
 	})
 }
 
+// Keys that are written one after the other when their owners start must arrive in few batches,
+// later changes at once.
+func TestBatchesAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFixture(t, 0)
+		const keys, interval = 80, 50 * time.Millisecond
+		for i := range keys {
+			f.put(c, fmt.Sprint("p/", i), "1")
+			time.Sleep(interval)
+		}
+		time.Sleep(2 * time.Second)
+		c.Assert(f.has(fmt.Sprint("p/", keys-1)), qt.IsTrue)
+		f.mu.Lock()
+		batches := len(f.revisions)
+		f.mu.Unlock()
+		c.Assert(batches <= 8, qt.IsTrue, qt.Commentf("%d batches in %v", batches, keys*interval))
+		for i := range 5 {
+			f.put(c, fmt.Sprint("p/late", i), "1")
+			time.Sleep(300 * time.Millisecond)
+			c.Assert(f.has(fmt.Sprint("p/late", i)), qt.IsTrue)
+		}
+	})
+}
+
 // If entries expire during an outage of the store, those that are written again
 // after it must not disappear in between; the others must be deleted after the
 // grace period.
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -36,7 +36,7 @@
 }
 
 // Store reaches the platform's store directly or, while that fails, over relays. It
-// implements store.KV, store.StaleReader, store.Watcher and PollingStore and is safe for
+// implements store.KV, store.StaleReader and PollingStore and is safe for
 // concurrent use. No other lock is acquired while its mutex is held.
 type Store struct {
 	opts          Options
@@ -128,13 +128,6 @@
 	return result, err
 }
 
-// Watch implements store.Watcher by long polling.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64) (<-chan store.WatchBatch, error) {
-	return store.WatchByPolling(ctx, from, func(ctx context.Context, revision int64) store.WatchBatch {
-		return s.Next(ctx, prefix, revision)
-	}), nil
-}
-
 // Next implements PollingStore.
 func (s *Store) Next(ctx context.Context, prefix string, revision int64) store.WatchBatch {
 	var batch store.WatchBatch
@@ -161,11 +154,14 @@
 func (s *Store) do(ctx context.Context, idempotent bool, callDirect func() error, callRelay func(*rpc.Client) error) error {
 	var err error
 	if s.tryDirect() {
-		if err = callDirect(); !retryable(err, idempotent) {
-			s.noteDirect(err)
-			return err
+		err = callDirect()
+		if err != nil && ctx.Err() != nil {
+			return err // the call was canceled, which says nothing about the path
 		}
 		s.noteDirect(err)
+		if !retryable(err, idempotent) {
+			return err
+		}
 	}
 	for _, address := range s.candidates() {
 		if ctx.Err() != nil {
