Read only records of several owners again, and start with longer batches until servers settle

The mirror took the first quiet second, before the first server had registered, for the end of the start, so each gate still polled five times a second (948 watches of servers by gates). Change: only records with shares of other owners are read again; the entries count as settled after 2.5 s without changes.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -27,7 +27,7 @@
 	// for settleTime: owners that start together write their keys within seconds.
 	batchDelay      = 200 * time.Millisecond
 	startBatchDelay = 800 * time.Millisecond
-	settleTime      = time.Second
+	settleTime      = 2500 * time.Millisecond
 )
 
 // State is a copy of the keys under a prefix.
--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -48,9 +48,9 @@
 	// maxCommitAttempts is the number of attempts to commit a transaction that conflicts
 	// with the updates of other owners.
 	maxCommitAttempts = 6
-	// A record is read again before an update if this process last wrote it more than
-	// maxRecordAge ago. An update of more than maxRefreshedRecords records skips these
-	// reads, because they would cost more than a conflict.
+	// A record with shares of other owners is read again before an update if this process last
+	// wrote it more than maxRecordAge ago. An update of more than maxRefreshedRecords records
+	// skips these reads, because they would cost more than a conflict.
 	maxRecordAge        = 60 * time.Millisecond
 	maxRefreshedRecords = 3
 	// maxCloseDelay is the longest random delay before a predecessor's share is closed in a
--- a/internal/prepaid/record.go
+++ b/internal/prepaid/record.go
@@ -172,6 +172,11 @@
 	r.Shares = append(r.Shares, s)
 }
 
+// hasOtherOwners reports whether a process other than the owner has a share.
+func (r *QuotaRecord) hasOtherOwners(owner string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Owner != owner })
+}
+
 // hasPredecessor reports whether an earlier process on the owner's host still has a share.
 func (r *QuotaRecord) hasPredecessor(owner string) bool {
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Owner != owner && sameHost(s.Owner, owner) })
--- a/internal/prepaid/sync.go
+++ b/internal/prepaid/sync.go
@@ -213,9 +213,10 @@
 	}
 }
 
-// refresh rereads the records that this process has not written within maxRecordAge, if the
-// batch is small: a stale read costs a tenth of what a conflict of the transaction costs. An
-// error only ends the refresh, because the transaction detects outdated records.
+// refresh rereads the records that have shares of other owners and that this process has not
+// written within maxRecordAge, if the batch is small: a stale read costs a tenth of what a conflict
+// of the transaction costs. An error only ends the refresh, because the transaction detects
+// outdated records.
 func (m *Manager) refresh(ctx context.Context, batch []*quota) {
 	reader, ok := m.opts.Store.(store.StaleReader)
 	if !ok || len(batch) > maxRefreshedRecords {
@@ -223,7 +224,7 @@
 	}
 	for _, q := range batch {
 		m.mu.Lock()
-		skip := time.Since(q.syncedAt) < maxRecordAge || q.corrupt != nil
+		skip := time.Since(q.syncedAt) < maxRecordAge || q.corrupt != nil || !q.record.hasOtherOwners(m.opts.Owner)
 		m.mu.Unlock()
 		if skip {
 			continue
