Refuse with budget-exhausted what only a payment can cover

Change: all that ended processes may have spent counts as spent when a request is refused, so the refusal is 402 at once; the verdict stays not-run.

--- a/internal/prepaid/policy.go
+++ b/internal/prepaid/policy.go
@@ -97,7 +97,7 @@
 	if self.idle {
 		return self.waiting
 	}
-	remaining := max(paid-record.totalSpent()-(record.Closed-record.ClosedSpent)-record.reservedByOthers(self.owner)-self.reserved, 0)
+	remaining := max(paid-record.totalSpent()-record.reservedByOthers(self.owner)-self.reserved, 0)
 	totalDemand := record.totalDemand()
 	if totalDemand == 0 {
 		return max(min(paid/p.InitialShareDivisor, remaining/p.FairShareDivisor), self.waiting)
@@ -140,9 +140,10 @@
 // able to use at least 97% of what they paid.
 const negligibleDivisor = 33
 
-// mayCover reports whether the balance may cover an amount. It is no guarantee: what other
-// owners have spent since they last wrote the record is not known, and of what ended processes
-// may have spent, only ClosedSpent counts as spent.
+// mayCover reports whether the balance may cover an amount. It is no guarantee: what other owners
+// have spent since they last wrote the record is not known. All that ended processes may have
+// spent counts as spent: it stays out of reach until the workspace pays again, so a caller that
+// waited for it would wait in vain.
 func (r *QuotaRecord) mayCover(self localState, paid, amount Tokens) bool {
 	spent := r.totalSpent() - r.shareOf(self.owner).Spent + self.spent
 	spentOrReserved := spent + r.reservedByOthers(self.owner) + self.reserved
--- a/internal/prepaid/powerloss_test.go
+++ b/internal/prepaid/powerloss_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
 // maxLostPercent is the part of what a workspace paid that one loss of power may take from it,
@@ -43,3 +45,48 @@
 		})
 	}
 }
+
+// What a loss of power takes stays out of reach until the workspace pays again. A request that the
+// rest does not cover must be refused at once with CodeBudgetExhausted, not told to come back, and
+// must be served after a payment.
+func TestLostTokensAreNotOffered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const paid, bound = 400_000, 9_000
+		s := newSimulation(t, 3, 1)
+		s.setPaid(paid)
+		h := s.hosts[0]
+		reserve := func() (Reservation, error) { return h.manager.Reserve(t.Context(), s.reservationRequest(bound)) }
+		for range 40 {
+			r, err := reserve()
+			c.Assert(err, qt.IsNil)
+			r.Settle(bound)
+			time.Sleep(100 * time.Millisecond)
+		}
+		_, err := reserve() // lost with the power
+		c.Assert(err, qt.IsNil)
+		h.stop()
+		h.clock = &testClock{boot: "after", base: time.Now()}
+		h.start(t)
+		time.Sleep(maxCloseDelay + time.Second)
+		refusals := 0
+		for range 20 {
+			started := time.Now()
+			r, err := reserve()
+			if err == nil {
+				r.Settle(bound)
+				continue
+			}
+			refusals++
+			c.Check(verdict.CodeOf(err), qt.Equals, verdict.CodeBudgetExhausted)
+			c.Check(time.Since(started) < maxReserveWait/2, qt.IsTrue)
+		}
+		c.Check(refusals > 0, qt.IsTrue)
+		s.setPaid(2 * paid)
+		r, err := reserve()
+		c.Assert(err, qt.IsNil)
+		r.Settle(bound)
+		h.stop()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/prepaid/record.go
+++ b/internal/prepaid/record.go
@@ -132,9 +132,10 @@
 	return total
 }
 
-// totalSpent returns the amount that is known to be spent.
+// totalSpent returns the amount that counts as spent: what owners are known to have spent, and all
+// that ended processes may have spent.
 func (r *QuotaRecord) totalSpent() Tokens {
-	total := r.ClosedSpent
+	total := r.Closed
 	for _, s := range r.Shares {
 		total += s.Spent
 	}
