Try hosts that refuse connections less and less often

Cause: relays run beside servers, but a host may have none: gates then tried addresses that refuse connections again every 1.5 to 3 s, two of them a request, instead of the relays that run. Change: the backoff of an address doubles while it refuses connections, up to 32 times; a refused connection is no attempt, ten addresses are tried at most.

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -2,21 +2,29 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// maxRefusals limits the backoff of an address that refuses connections: it doubles with each
+// refusal up to this number.
+const maxRefusals = 6
+
 // ClientPool keeps one RPC client for each address in use and puts addresses into backoff
-// after a failure. The gate's side of package reserve uses one for quota servers. It is safe
-// for concurrent use. No other lock is acquired while its mutex is held.
+// after a failure. A host that refuses connections probably runs no relay, so its backoff grows.
+// The gate's side of package reserve uses one for quota servers. It is safe for concurrent use. No
+// other lock is acquired while its mutex is held.
 type ClientPool struct {
 	backoff time.Duration
 	dial    DialFunc
 
 	mu           sync.Mutex
 	clients      map[string]*rpc.Client
+	refusals     map[string]int // connections that an address refused since it accepted one
 	backoffUntil map[string]time.Time
 }
 
@@ -32,7 +40,9 @@
 // NewClientPool returns a pool without clients. backoff is the time for which an address is
 // not available after MarkFailed.
 func NewClientPool(backoff time.Duration, dial DialFunc) *ClientPool {
-	return &ClientPool{backoff: backoff, dial: dial, clients: make(map[string]*rpc.Client), backoffUntil: make(map[string]time.Time)}
+	return &ClientPool{
+		backoff: backoff, dial: dial, clients: make(map[string]*rpc.Client), refusals: make(map[string]int), backoffUntil: make(map[string]time.Time),
+	}
 }
 
 // Client returns the client for an address. It opens a connection if there is none.
@@ -45,11 +55,13 @@
 	}
 	conn, err := p.dial(ctx, "tcp", address)
 	if err != nil {
+		p.noteDial(address, err)
 		return nil, err
 	}
 	client = rpc.NewClient(newLimitedConn(conn, maxReplyBytes))
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.refusals, address)
 	if other := p.clients[address]; other != nil {
 		// Another call opened a connection meanwhile. This one is unused.
 		_ = client.Close()
@@ -59,12 +71,26 @@
 	return client, nil
 }
 
+// noteDial counts a refused connection.
+func (p *ClientPool) noteDial(address string, err error) {
+	if !Refused(err) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusals[address] = min(p.refusals[address]+1, maxRefusals)
+}
+
+// Refused reports whether an error means that an address refused a connection: no relay runs
+// there, and nothing was sent.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // MarkFailed closes the connection to an address and puts the address into backoff.
 func (p *ClientPool) MarkFailed(address string) {
 	p.mu.Lock()
 	client := p.clients[address]
 	delete(p.clients, address)
-	p.backoffUntil[address] = time.Now().Add(p.backoff)
+	p.backoffUntil[address] = time.Now().Add(p.backoff << max(p.refusals[address]-1, 0))
 	p.mu.Unlock()
 	if client != nil {
 		// Calls in progress on it fail; their callers can use another address.
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -19,8 +19,10 @@
 	// directRetryInterval is how long calls go over relays after a direct call failed. Then
 	// one call tries the direct path again.
 	directRetryInterval = 1500 * time.Millisecond
-	// maxRelayAttempts is the number of relays that are tried for one call.
+	// maxRelayAttempts is the number of relays that are tried for one call, apart from addresses
+	// that refuse connections. Together they are at most maxCandidates.
 	maxRelayAttempts = 2
+	maxCandidates    = 10
 	// relayBackoff is how long a relay is not called after it failed.
 	relayBackoff = 3 * time.Second
 )
@@ -163,7 +165,11 @@
 			return err
 		}
 	}
+	attempts := 0
 	for _, address := range s.candidates() {
+		if attempts == maxRelayAttempts {
+			break
+		}
 		if ctx.Err() != nil {
 			return errors.Join(store.ErrUnavailable, ctx.Err())
 		}
@@ -171,8 +177,12 @@
 		if dialErr != nil {
 			s.markFailed(address)
 			err = fmt.Errorf("%w: relay %s: %w", store.ErrUnavailable, address, dialErr)
+			if !Refused(dialErr) {
+				attempts++
+			}
 			continue
 		}
+		attempts++
 		s.relayed.Inc(1)
 		if err = callRelay(client); !retryable(err, idempotent) {
 			s.noteRelayed(address, err)
@@ -232,7 +242,7 @@
 	s.lastRelay = address
 }
 
-// candidates returns the relays to try, at most maxRelayAttempts: the last one that worked, then
+// candidates returns the relays to try, at most maxCandidates: the last one that worked, then
 // random others.
 func (s *Store) candidates() []string {
 	addresses := append([]string(nil), s.opts.Relays()...)
@@ -245,7 +255,7 @@
 		chosen = append(chosen, lastRelay)
 	}
 	for _, address := range addresses {
-		if len(chosen) == maxRelayAttempts {
+		if len(chosen) == maxCandidates {
 			break
 		}
 		if address != lastRelay && s.pool.Available(address) {
--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -22,8 +22,10 @@
 	reserveTimeout = 450 * time.Millisecond
 	// serverBackoff is how long a quota server is not called after it did not reply.
 	serverBackoff = 1500 * time.Millisecond
-	// maxServerAttempts is the number of quota servers that are tried for one request.
+	// maxServerAttempts is the number of quota servers that are tried for one request, apart from
+	// addresses that refuse connections. Together they are at most maxCandidates.
 	maxServerAttempts = 2
+	maxCandidates     = 10
 	// callSamples is the reservoir size and callDecay the decay factor of the histogram of
 	// call times.
 	callSamples = 256
@@ -107,18 +109,23 @@
 // grants the reservation. The errors are those of prepaid.Manager.Reserve.
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
-	group := workspaceGroup(req.Workspace, c.opts.Workspaces())
-	for _, address := range rendezvous.Rank(group, c.available(), maxServerAttempts) {
+	group, attempts := workspaceGroup(req.Workspace, c.opts.Workspaces()), 0
+	for _, address := range rendezvous.Rank(group, c.available(), maxCandidates) {
 		reservation, elsewhere, err := c.tryServer(ctx, address, req)
 		if err == nil {
 			c.stats.granted.Inc(1)
 			return reservation, nil
 		}
+		if relay.Refused(err) {
+			continue
+		}
+		attempts++
 		if errors.Is(err, errNoReply) {
 			c.stats.noReply.Inc(1)
-			continue
+		} else if refusal = err; !elsewhere || ctx.Err() != nil {
+			break
 		}
-		if refusal = err; !elsewhere || ctx.Err() != nil {
+		if attempts == maxServerAttempts {
 			break
 		}
 	}
@@ -172,6 +179,9 @@
 		return verdict.New(verdict.NotRun, verdict.CodeCanceled, "the caller disconnected")
 	}
 	c.pool.MarkFailed(address)
+	if relay.Refused(err) {
+		return fmt.Errorf("%w: %w", errNoReply, err) // no relay runs there
+	}
 	c.opts.Log.Warn("quota server did not reply, in backoff", "holder", address, "after_ms", time.Since(start).Milliseconds(), "error", err)
 	return fmt.Errorf("%w: %w", errNoReply, err)
 }
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -310,6 +310,39 @@
 	c.Assert(reserveTokens(c, newServer(t, reserver), 1, 100).Elsewhere, qt.IsTrue)
 }
 
+// Quota servers run on a few of many hosts only: gates must find one and stay with it, and take
+// shares of their own, which divide the balance, in the first second at most.
+func TestFewHostsRunQuotaServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSimulation(t, 1, 4, 5, 40_000_000)
+		s.bareHosts = 95
+		own := func() int {
+			commits := 0
+			for _, g := range s.gates {
+				commits += g.store.Commits()
+			}
+			return commits
+		}
+		run := func(requests int) {
+			for range requests {
+				s.request()
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+		run(100)
+		before := own()
+		run(1500)
+		_, refused, slowest := s.totals()
+		c.Check(refused, qt.Equals, 0)
+		c.Check(slowest < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", slowest))
+		// Shares of the first second are released.
+		c.Check(own()-before <= 3*len(s.gates), qt.IsTrue, qt.Commentf("%d commits of gates", own()-before))
+		s.stopAll()
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // Guards against gates that rank the quota servers differently, and against a server that
 // moves the workspaces of other servers when it joins or leaves.
 func TestRankServers(t *testing.T) {
--- a/internal/reserve/simulation_test.go
+++ b/internal/reserve/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,6 +9,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,10 +23,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
-var (
-	errConnRefused = errors.New("connection refused")
-	discardLogger  = slog.New(slog.NewTextHandler(io.Discard, nil))
-)
+var discardLogger = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 // testClock is the boot clock of a simulated host, based on the time of the synctest bubble.
 type testClock struct {
@@ -116,7 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, errConnRefused
+		return nil, syscall.ECONNREFUSED
 	}
 	local, remote := net.Pipe()
 	s.conns = append(s.conns, remote)
@@ -149,6 +146,8 @@
 	random  *rand.Rand
 	gates   []*gate
 	servers []*quotaServer
+	// bareHosts is the number of hosts on which no quota server runs.
+	bareHosts int
 
 	mu           sync.Mutex
 	paid         prepaid.Tokens
@@ -186,6 +185,9 @@
 	for i, server := range s.servers {
 		addresses[i] = server.name
 	}
+	for i := range s.bareHosts {
+		addresses = append(addresses, fmt.Sprint("bare", i))
+	}
 	return addresses
 }
 
@@ -195,7 +197,7 @@
 			return server.connect()
 		}
 	}
-	return nil, errConnRefused
+	return nil, syscall.ECONNREFUSED
 }
 
 // firstServer returns the quota server that ranks first for the workspace.
--- a/internal/watchcache/client.go
+++ b/internal/watchcache/client.go
@@ -167,7 +167,7 @@
 // it has the entries, or says that the revision is compacted.
 func ask[R any, P replyOf[R]](ctx context.Context, c *Client, prefix, method string, timeout time.Duration, args any) (R, bool) {
 	var none R
-	reason := "no server to ask"
+	reason, attempts := "no server to ask", 0
 	for _, server := range c.servers(time.Now()) {
 		reply := P(new(R)) // a call that times out may still write to its reply
 		err := c.call(ctx, server, method, timeout, args, reply)
@@ -189,6 +189,12 @@
 		c.failed.Inc(1)
 		c.pool.MarkFailed(server)
 		reason = err.Error()
+		if relay.Refused(err) {
+			continue
+		}
+		if attempts++; attempts == maxServerAttempts {
+			break
+		}
 	}
 	c.notePath(prefix, "", reason)
 	return none, false
@@ -217,7 +223,7 @@
 			available = append(available, address)
 		}
 	}
-	return rendezvous.Rank(c.opts.Domain, available, maxServerAttempts)
+	return rendezvous.Rank(c.opts.Domain, available, maxCandidates)
 }
 
 func (c *Client) setAlone(until time.Time) {
--- a/internal/watchcache/messages.go
+++ b/internal/watchcache/messages.go
@@ -46,8 +46,10 @@
 	// watches alone after a Server told it to; it is shorter, so that such gates count.
 	gateTTL       = 10 * time.Second
 	aloneInterval = 3 * time.Second
-	// maxServerAttempts is the number of Servers that are asked for one call.
+	// maxServerAttempts is the number of Servers that are asked for one call, apart from addresses
+	// that refuse connections. Together they are at most maxCandidates.
 	maxServerAttempts = 2
+	maxCandidates     = 10
 	// serverBackoff is how long a Server is not asked after it failed.
 	serverBackoff = 3 * time.Second
 	// maxNameBytes limits the names of gates.
--- a/internal/watchcache/simulation_test.go
+++ b/internal/watchcache/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +10,7 @@
 	"net/rpc"
 	"strconv"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,10 +36,7 @@
 	silentTime = 800 * time.Millisecond
 )
 
-var (
-	errConnRefused = errors.New("connection refused")
-	discardLogger  = slog.New(slog.NewTextHandler(io.Discard, nil))
-)
+var discardLogger = slog.New(slog.NewTextHandler(io.Discard, nil))
 
 // bubbleClock is the boot clock of a simulated host, based on the time of the synctest bubble.
 type bubbleClock struct{ base time.Time }
@@ -189,7 +186,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, errConnRefused
+		return nil, syscall.ECONNREFUSED
 	}
 	local, remote := net.Pipe()
 	s.conns = append(s.conns, remote)
@@ -221,6 +218,8 @@
 	servers []*testServer
 	gates   []*testGate
 	version int
+	// bareHosts is the number of hosts on which no server runs.
+	bareHosts int
 }
 
 func newDomain(t *testing.T, seed uint64, servers, gates int) *domain {
@@ -264,8 +263,8 @@
 }
 
 func (d *domain) addresses() []string {
-	addresses := make([]string, len(d.servers))
-	for i := range d.servers {
+	addresses := make([]string, len(d.servers)+d.bareHosts)
+	for i := range addresses {
 		addresses[i] = strconv.Itoa(i)
 	}
 	return addresses
@@ -276,6 +275,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if i >= len(d.servers) {
+		return nil, syscall.ECONNREFUSED
+	}
 	return d.servers[i].connect()
 }
 
@@ -365,12 +367,14 @@
 	}
 }
 
-// The calls to the store must follow the number of domains, not of gates. Twelve gates that watch
+// The calls to the store must follow the number of domains, not of gates, also if servers run on a
+// few of many hosts only. Twelve gates that watch
 // alone make 12 calls for each change and 4 a second.
 func TestCallsDoNotFollowGates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := newDomain(t, 1, 3, 12)
+		d.bareHosts = 60
 		time.Sleep(20 * time.Second)
 		before := d.calls()
 		for range 30 {
