Keep one stand-in for a host's boot clock

Cause: the tests of prepaid, reserve and watchcache each had the same clock. Change: devel/standin/hostclock; the tests' checks are unchanged.

--- a/internal/prepaid/powerloss_test.go
+++ b/internal/prepaid/powerloss_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostclock"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -34,7 +35,7 @@
 			lost := q.limit() - q.spent - q.reserved
 			h.manager.mu.Unlock()
 			c.Check(lost*100 <= s.paid*maxLostPercent, qt.IsTrue, qt.Commentf("seed %d: %d of %d lost after %v", seed, lost, s.paid, after))
-			h.clock = &testClock{boot: "after", base: time.Now()}
+			h.clock = &hostclock.Clock{Boot: "after", Start: time.Now()}
 			h.start(t)
 			for range 400 {
 				s.request()
@@ -66,7 +67,7 @@
 		_, err := reserve() // lost with the power
 		c.Assert(err, qt.IsNil)
 		h.stop()
-		h.clock = &testClock{boot: "after", base: time.Now()}
+		h.clock = &hostclock.Clock{Boot: "after", Start: time.Now()}
 		h.start(t)
 		time.Sleep(maxCloseDelay + time.Second)
 		refusals := 0
--- a/internal/prepaid/simulation_test.go
+++ b/internal/prepaid/simulation_test.go
@@ -15,25 +15,15 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/monsoonworks/monsoonworks/internal/bootclock"
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostclock"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
 )
 
-// testClock is the boot clock of a simulated host, based on the time of the synctest bubble.
-type testClock struct {
-	boot string
-	base time.Time
-}
-
-func (c *testClock) Now() bootclock.Instant {
-	return bootclock.Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
-}
-
 // testHost is a host that runs one quota server process at a time.
 type testHost struct {
 	name    string
-	clock   *testClock
+	clock   *hostclock.Clock
 	store   *lossystore.Store
 	manager *Manager
 	stop    context.CancelFunc
@@ -102,7 +92,7 @@
 	mem := memstore.New(memstore.Options{})
 	for i := range hosts {
 		h := &testHost{
-			name: fmt.Sprintf("h%d", i), clock: &testClock{boot: "b", base: time.Now().Add(-time.Hour)},
+			name: fmt.Sprintf("h%d", i), clock: &hostclock.Clock{Boot: "b", Start: time.Now().Add(-time.Hour)},
 			store: lossystore.New(mem, seed, uint64(i)+2),
 		}
 		s.hosts = append(s.hosts, h)
@@ -144,9 +134,9 @@
 		h.start(s.t)
 	case 1: // power failure: the boot ID and the boot clock change
 		h.stop()
-		h.clock = &testClock{
-			boot: fmt.Sprint("b", s.random.IntN(1000)),
-			base: time.Now().Add(-time.Duration(s.random.IntN(1000)) * time.Second),
+		h.clock = &hostclock.Clock{
+			Boot:  fmt.Sprint("b", s.random.IntN(1000)),
+			Start: time.Now().Add(-time.Duration(s.random.IntN(1000)) * time.Second),
 		}
 		h.start(s.t)
 	case 2: // the store becomes unreachable for the host, or reachable again
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostclock"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
@@ -29,11 +30,11 @@
 		server.start(s.t)
 	case 1: // power failure: the boot clock restarts
 		server.kill()
-		server.clock = &testClock{boot: "b", base: time.Now().Add(-time.Duration(s.random.IntN(1000)) * time.Second)}
+		server.clock = &hostclock.Clock{Boot: "b", Start: time.Now().Add(-time.Duration(s.random.IntN(1000)) * time.Second)}
 		if s.random.IntN(2) == 0 {
-			server.clock.boot = fmt.Sprint("b", s.random.IntN(1000))
+			server.clock.Boot = fmt.Sprint("b", s.random.IntN(1000))
 		} else {
-			server.clock.base = time.Now() // instants before all checkpoints, same boot ID
+			server.clock.Start = time.Now() // instants before all checkpoints, same boot ID
 		}
 		server.start(s.t)
 	case 2: // the server becomes unresponsive, or responsive again
--- a/internal/reserve/simulation_test.go
+++ b/internal/reserve/simulation_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/monsoonworks/monsoonworks/internal/bootclock"
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostclock"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
 	"github.com/monsoonworks/monsoonworks/internal/rendezvous"
 	"github.com/monsoonworks/monsoonworks/internal/store/lossystore"
@@ -25,20 +25,10 @@
 
 var discardLogger = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// testClock is the boot clock of a simulated host, based on the time of the synctest bubble.
-type testClock struct {
-	boot string
-	base time.Time
-}
-
-func (c *testClock) Now() bootclock.Instant {
-	return bootclock.Instant{Boot: c.boot, Millis: time.Since(c.base).Milliseconds()}
-}
-
 // testHost is the host of a gate or of a quota server. It runs one process at a time.
 type testHost struct {
 	name    string
-	clock   *testClock
+	clock   *hostclock.Clock
 	store   *lossystore.Store
 	manager *prepaid.Manager
 	starts  int
@@ -163,7 +153,7 @@
 	mem := memstore.New(memstore.Options{})
 	newHost := func(name string, i int) testHost {
 		return testHost{
-			name: name, clock: &testClock{boot: "b", base: time.Now().Add(-time.Hour)},
+			name: name, clock: &hostclock.Clock{Boot: "b", Start: time.Now().Add(-time.Hour)},
 			store: lossystore.New(mem, seed, uint64(i)+2),
 		}
 	}
--- a/internal/watchcache/simulation_test.go
+++ b/internal/watchcache/simulation_test.go
@@ -18,7 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/monsoonworks/monsoonworks/internal/bootclock"
+	"github.com/monsoonworks/monsoonworks/devel/standin/hostclock"
 	"github.com/monsoonworks/monsoonworks/internal/mirror"
 	"github.com/monsoonworks/monsoonworks/internal/store"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
@@ -38,13 +38,6 @@
 
 var discardLogger = slog.New(slog.NewTextHandler(io.Discard, nil))
 
-// bubbleClock is the boot clock of a simulated host, based on the time of the synctest bubble.
-type bubbleClock struct{ base time.Time }
-
-func (c bubbleClock) Now() bootclock.Instant {
-	return bootclock.Instant{Boot: "b", Millis: time.Since(c.base).Milliseconds()}
-}
-
 // link is one process's path to the store. It counts calls.
 type link struct {
 	*memstore.Store
@@ -134,7 +127,7 @@
 func (s *testServer) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	server := NewServer(ctx, ServerOptions{
-		Prefixes: []string{testPrefix}, Store: s.link, Clock: bubbleClock{time.Now().Add(-time.Hour)}, Log: discardLogger, Metrics: metrics.NewRegistry(),
+		Prefixes: []string{testPrefix}, Store: s.link, Clock: &hostclock.Clock{Boot: "b", Start: time.Now().Add(-time.Hour)}, Log: discardLogger, Metrics: metrics.NewRegistry(),
 	})
 	rpcServer := rpc.NewServer()
 	if err := rpcServer.RegisterName(ServiceName, server); err != nil {
