--- a/internal/watchcache/client.go
+++ b/internal/watchcache/client.go
@@ -60,7 +60,7 @@
 func (c *Client) Next(ctx context.Context, prefix string, revision int64) store.WatchBatch {
 	batch, err := hedge(ctx, c.hedgeDelay(prefix, nextHedgeDelay), func(ctx context.Context) (store.WatchBatch, bool) {
 		args := &NextArgs{Gate: c.opts.Gate, Prefix: prefix, Revision: revision}
-		reply, ok := ask[NextReply](ctx, c, prefix, "Next", nextTimeout, args)
+		reply, ok := ask[NextReply](ctx, c, prefix, revision, "Next", nextTimeout, args)
 		return store.WatchBatch{Events: reply.Events, Revision: max(reply.Revision, revision), Err: reply.Failure.Err()}, ok
 	}, func(ctx context.Context) (store.WatchBatch, error) {
 		batch := c.opts.Direct.Next(ctx, prefix, revision)
@@ -79,7 +79,7 @@
 // List returns all entries with a prefix.
 func (c *Client) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	snapshot, err := hedge(ctx, c.hedgeDelay(prefix, listHedgeDelay), func(ctx context.Context) (store.Snapshot, bool) {
-		reply, ok := ask[ListReply](ctx, c, prefix, "List", listTimeout, &ListArgs{Gate: c.opts.Gate, Prefix: prefix})
+		reply, ok := ask[ListReply](ctx, c, prefix, 0, "List", listTimeout, &ListArgs{Gate: c.opts.Gate, Prefix: prefix})
 		return reply.Snapshot, ok
 	}, func(ctx context.Context) (store.Snapshot, error) {
 		return c.opts.Direct.List(ctx, prefix)
@@ -161,11 +161,12 @@
 type replyOf[R any] interface {
 	*R
 	result() *Result
+	validate(prefix string, revision int64) error
 }
 
 // ask calls a method of the servers, one after the other, and reports whether a reply can be used:
 // it has the entries, or says that the revision is compacted.
-func ask[R any, P replyOf[R]](ctx context.Context, c *Client, prefix, method string, timeout time.Duration, args any) (R, bool) {
+func ask[R any, P replyOf[R]](ctx context.Context, c *Client, prefix string, revision int64, method string, timeout time.Duration, args any) (R, bool) {
 	var none R
 	reason, attempts := "no server to ask", 0
 	for _, server := range c.servers(time.Now()) {
@@ -182,6 +183,9 @@
 		if err == nil {
 			err = reply.result().err()
 		}
+		if err == nil {
+			err = reply.validate(prefix, revision)
+		}
 		if err == nil || errors.Is(err, store.ErrCompacted) {
 			c.notePath(prefix, server, "")
 			return *reply, true
--- a/internal/watchcache/messages.go
+++ b/internal/watchcache/messages.go
@@ -12,6 +12,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/relay"
@@ -103,6 +104,36 @@
 	Revision int64
 }
 
+var errMalformedReply = errors.New("malformed reply: an entry outside the prefix, or revisions out of order")
+
+// validate fails if the reply could not have come from a Server that works.
+func (r *NextReply) validate(prefix string, revision int64) error {
+	last := revision
+	for _, e := range r.Events {
+		if e.ModRevision < last || !strings.HasPrefix(e.Key, prefix) {
+			return errMalformedReply
+		}
+		last = e.ModRevision
+	}
+	if r.Revision < last || len(r.Events) > 0 && r.Events[0].ModRevision <= revision {
+		return errMalformedReply
+	}
+	return nil
+}
+
+// validate fails if the reply could not have come from a Server that works.
+func (r *ListReply) validate(prefix string, _ int64) error {
+	for _, e := range r.Snapshot.Entries {
+		if !strings.HasPrefix(e.Key, prefix) {
+			return errMalformedReply
+		}
+	}
+	if r.Snapshot.Revision <= 0 {
+		return errMalformedReply
+	}
+	return nil
+}
+
 // ListArgs requests all entries with a prefix.
 type ListArgs struct {
 	Gate   string
