--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -16,7 +16,7 @@
 				return writeEventStreamHeader(conn, r) && writeEvents(conn, 1, n) && writeRaw(conn, "0\r\n\r\n")
 			})
 			for b.Loop() {
-				if got := f.request("POST", "/stream/"); got.err != nil {
+				if got := f.request("POST", "/stream/", "Tokens", "1000"); got.err != nil {
 					b.Fatal(got.err)
 				}
 			}
--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -108,7 +108,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, endless(okHead+"Content-Type: text/event-stream\r\n\r\n"+formatEvents(1, 2), part))
-			got := f.request("POST", "/stream/", "Tokens", "1")
+			got := f.request("POST", "/stream/")
 			f.c.Assert(got.err != nil || got.status == 502, qt.IsTrue)
 			f.c.Assert(got.elapsed < time.Second, qt.IsTrue, qt.Commentf("%v", got.elapsed))
 			f.c.Assert(strings.Count(got.body, "data") <= 51, qt.IsTrue)
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -37,8 +38,12 @@
 		}
 		info.Timeout = d
 	}
-	if h.Get("Tokens") != "" {
-		info.TokensDeclared, info.PromptTokens, info.MaxOutputTokens = true, 100, 50
+	if text := h.Get("Tokens"); text != "" {
+		maxOutput, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return info, errors.New("invalid Tokens header")
+		}
+		info.TokensDeclared, info.PromptTokens, info.MaxOutputTokens = true, 100, maxOutput
 	}
 	return info, nil
 }
@@ -231,7 +236,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", "id-1")
 	r.Header.Set("Key", "k")
-	r.Header.Set("Tokens", "1")
+	r.Header.Set("Tokens", "50")
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -206,7 +206,7 @@
 	r.Host = "h"
 	r.Header.Set("Id", "id-1")
 	r.Header.Set("Key", "k")
-	r.Header.Set("Tokens", "1")
+	r.Header.Set("Tokens", "50")
 	_, err = f.client.Do(r)
 	f.c.Assert(err, qt.IsNotNil)
 	select {
