Refuse at once during an outage of the store, and tell callers to come back after it

Requests that their share could not cover waited 250 ms at two quota servers, and were told to come back after 0.5 s, when most were refused again; a caller has one retry. Change: while syncs fail, a request is refused at once if the share would not cover it even if the requests in progress consumed nothing, or if the record was never read. The Retry-After of refusals is then the outage so far and 1 s, at most 4 s. The decisions on refusals have a file of their own; manager.go loses them.

--- a/internal/prepaid/manager.go
+++ b/internal/prepaid/manager.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -69,15 +68,6 @@
 	// delay doubles with each further failure.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// After a sync that leaves too few unallocated tokens for a request, requests that the
-	// share does not cover are refused without another sync for minInsufficientPeriod. The next
-	// such period is twice as long, up to maxInsufficientPeriod, unless a reservation was
-	// granted or the paid amount increased meanwhile.
-	minInsufficientPeriod = 500 * time.Millisecond
-	maxInsufficientPeriod = 6 * time.Second
-	// unreachableRetryAfter is the Retry-After of a request that this process's share does
-	// not cover although the workspace's balance may.
-	unreachableRetryAfter = 500 * time.Millisecond
 )
 
 // Options configure a Manager.
@@ -100,8 +90,9 @@
 	self  identity
 	wake  chan struct{}
 	stats stats
-	// failing is what SyncFailing returns.
-	failing atomic.Bool
+	// failingSince is when the first of the syncs began that have failed since the last success,
+	// nil if the last one succeeded.
+	failingSince atomic.Pointer[time.Time]
 	// predecessorLoaded is set once the checkpoint of the host's previous process was read.
 	// Only Run uses it.
 	predecessorLoaded bool
@@ -207,7 +198,17 @@
 // shares or the checkpoint. A check that finds nothing to do does not fail. The store may reply
 // all the same: an update also fails if it keeps conflicting with other processes or finds a
 // corrupt record.
-func (m *Manager) SyncFailing() bool { return m.failing.Load() }
+func (m *Manager) SyncFailing() bool { return m.failingSince.Load() != nil }
+
+// noteSync records the result of a check that began at started.
+func (m *Manager) noteSync(started time.Time, err error) {
+	switch {
+	case err == nil:
+		m.failingSince.Store(nil)
+	case m.failingSince.Load() == nil:
+		m.failingSince.Store(&started)
+	}
+}
 
 // waitForShare waits until the share covers the amount, refusal returns an error, maxReserveWait
 // has elapsed, or ctx ends.
@@ -223,7 +224,7 @@
 		if q.reserve(amount, m.opts.Clock.Now()) {
 			return &reservation{manager: m, quota: q, amount: amount}, nil
 		}
-		if err := q.refusal(m.self, m.opts.Clock.Now(), amount, waitStart); err != nil {
+		if err := m.refusal(q, amount, waitStart); err != nil {
 			m.countRefusal(err)
 			return nil, err
 		}
@@ -237,6 +238,9 @@
 		}
 		if err != nil {
 			err.Detail += ": " + q.describe(m.opts.Clock.Now())
+			if err.Code == verdict.CodeBudgetUnreachable {
+				err.RetryAfter = m.retryAfter()
+			}
 			m.countRefusal(err)
 			return nil, err
 		}
@@ -261,61 +265,6 @@
 	}
 }
 
-// refusal returns an error if waiting longer cannot help, nil otherwise. Too few unallocated
-// tokens are a reason only if there was a sync after waitStart, or if waitStart is before
-// insufficientUntil. Otherwise other owners may have released tokens meanwhile.
-func (q *quota) refusal(self identity, now bootclock.Instant, amount Tokens, waitStart time.Time) *verdict.Error {
-	if q.corrupt != nil {
-		return unreachableError("the workspace's account cannot be read")
-	}
-	if !q.loaded {
-		return nil
-	}
-	if !q.record.mayCover(q.localState(self), q.paid, amount) {
-		return verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "the balance does not cover the request: %s", q.describe(now))
-	}
-	if q.syncedAt.After(waitStart) && q.paid-q.record.totalAllocated() < amount {
-		q.noteInsufficient(amount)
-		return unreachableError("other holders hold what is left of the balance: " + q.describe(now))
-	}
-	if waitStart.Before(q.insufficientUntil) {
-		err := unreachableError("other holders held what is left of the balance a moment ago: " + q.describe(now))
-		err.RetryAfter = max(err.RetryAfter, q.insufficientUntil.Sub(waitStart))
-		return err
-	}
-	return nil
-}
-
-// recordAge returns the time since this process last wrote the record, for the refusal detail.
-func (q *quota) recordAge() string {
-	if q.syncedAt.IsZero() {
-		return "never"
-	}
-	return time.Since(q.syncedAt).Round(time.Millisecond).String() + " ago"
-}
-
-// noteInsufficient starts a period, from the last sync on, in which requests that the share does
-// not cover are refused without a sync. It does nothing if the share covers the amount or if
-// the last sync fell into an earlier period.
-func (q *quota) noteInsufficient(amount Tokens) {
-	if q.limit()-q.spent-q.reserved >= amount || q.syncedAt.Before(q.insufficientUntil) {
-		return
-	}
-	q.insufficientPeriod = min(max(q.insufficientPeriod*2, minInsufficientPeriod), maxInsufficientPeriod)
-	q.insufficientUntil = q.syncedAt.Add(q.insufficientPeriod)
-}
-
-// describe returns the amounts that decide about a request, for the refusal detail.
-func (q *quota) describe(now bootclock.Instant) string {
-	others := q.record.totalAllocated() - q.record.Closed - q.record.shareOf(q.share.Owner).Limit
-	return fmt.Sprintf("paid %d, spent here %d, reserved here %d, limit here %d, usable here now %d, held by others %d, ended holders %d of which spent %d, account read %s",
-		q.paid, q.spent, q.reserved, q.limit(), q.limitAt(now), others, q.record.Closed, q.record.ClosedSpent, q.recordAge())
-}
-
-func unreachableError(detail string) *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnreachable, "%s", detail).WithRetryAfter(unreachableRetryAfter)
-}
-
 func (m *Manager) countRefusal(err *verdict.Error) {
 	if err.Code == verdict.CodeBudgetExhausted {
 		m.stats.exhausted.Inc(1)
--- a/internal/prepaid/sync.go
+++ b/internal/prepaid/sync.go
@@ -26,11 +26,12 @@
 		case <-ticker.C:
 		case <-m.wake:
 		}
+		started := time.Now()
 		err := m.loadRecords(ctx)
 		if batch, checkpoint := m.due(time.Now()); err == nil && (len(batch) > 0 || checkpoint) {
 			err = m.sync(ctx, batch, m.planShares)
 		}
-		m.failing.Store(err != nil)
+		m.noteSync(started, err)
 		if err != nil {
 			m.opts.Log.Warn("quota sync failed", "error", err, "retry_in", backoff)
 			if sleep(ctx, backoff) != nil {
