Report the later return of two refusals of quota servers

Cause: during an outage of the store a gate asks a second quota server, which may not have noticed it; its Retry-After of 0.5 s replaced that of the first. Change: of two refusals the one with the later return is reported, or that the balance is exhausted. Result: TestMergeRefusals; the package's tests pass.

--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -103,9 +103,9 @@
 // errNoReply means that a quota server did not reply and that the next one can be tried.
 var errNoReply = errors.New("quota server did not reply")
 
-// Reserve reserves req.Bound tokens at the quota server of the workspace's group. If that server does not
-// reply, or refuses with ReserveReply.Elsewhere set, the next server in the group's ranking
-// is tried, up to maxServerAttempts in all. If none replies, the fallback in this process
+// Reserve reserves req.Bound tokens at the quota server of the workspace's group. If that server
+// does not reply, or refuses with ReserveReply.Elsewhere set, the next server in the group's
+// ranking is tried, up to maxServerAttempts in all. If none replies, the fallback in this process
 // grants the reservation. The errors are those of prepaid.Manager.Reserve.
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
@@ -122,7 +122,7 @@
 		attempts++
 		if errors.Is(err, errNoReply) {
 			c.stats.noReply.Inc(1)
-		} else if refusal = err; !elsewhere || ctx.Err() != nil {
+		} else if refusal = mergeRefusals(refusal, err); !elsewhere || ctx.Err() != nil {
 			break
 		}
 		if attempts == maxServerAttempts {
@@ -137,6 +137,19 @@
 	return c.opts.Fallback.Reserve(ctx, req)
 }
 
+// mergeRefusals returns the refusal to report after two quota servers refused: that a balance is
+// exhausted, or the one with the later return. The first is nil if only one refused.
+func mergeRefusals(first, second error) error {
+	var a, b *verdict.Error
+	if !errors.As(first, &a) || !errors.As(second, &b) || b.Code == verdict.CodeBudgetExhausted || b.Code == verdict.CodeCanceled {
+		return second
+	}
+	if a.RetryAfter > b.RetryAfter {
+		return first
+	}
+	return second
+}
+
 // available returns the quota servers that are not in backoff.
 func (c *Client) available() []string {
 	var available []string
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -311,6 +311,22 @@
 	c.Assert(reserveTokens(c, newServer(t, reserver), 1, 100).Elsewhere, qt.IsTrue)
 }
 
+// Of two refusals, the caller must learn that the balance is exhausted, or the later return: a second
+// quota server may not have noticed an outage of the store yet.
+func TestMergeRefusals(t *testing.T) {
+	c := qt.New(t)
+	unreachable := func(after time.Duration) *verdict.Error {
+		return verdict.New(verdict.NotRun, verdict.CodeBudgetUnreachable, "").WithRetryAfter(after)
+	}
+	short, long := unreachable(time.Second), unreachable(3*time.Second)
+	exhausted := verdict.New(verdict.NotRun, verdict.CodeBudgetExhausted, "")
+	for _, test := range []struct{ first, second, want error }{
+		{nil, short, short}, {short, long, long}, {long, short, long}, {long, exhausted, exhausted},
+	} {
+		c.Check(mergeRefusals(test.first, test.second), qt.Equals, test.want)
+	}
+}
+
 // Quota servers run on a few of many hosts only: gates must find one and stay with it, and take
 // shares of their own, which divide the balance, in the first second at most.
 func TestFewHostsRunQuotaServers(t *testing.T) {
