Simplify the poll of shared watches, and scan the events of a stream once

Cause: reading the change anew: a negative delay stood for a failure, a stream's events were scanned twice, a variable hid a package, and a test set a field that a goroutine reads. Change: pollOnce reports changes and errors; the scan's result is passed on; names and comments.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -190,10 +190,10 @@
 		if err != nil || service == nil || service.Engine == nil {
 			continue
 		}
-		relay := netip.AddrPortFrom(address.Addr(), port).String()
-		addresses.all = append(addresses.all, relay)
+		relayAddress := netip.AddrPortFrom(address.Addr(), port).String()
+		addresses.all = append(addresses.all, relayAddress)
 		if s.Domain == g.settings.Domain {
-			addresses.domain = append(addresses.domain, relay)
+			addresses.domain = append(addresses.domain, relayAddress)
 		}
 	}
 	g.relays.Store(&addresses)
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -71,18 +71,18 @@
 				}
 				resuming = len(events) == 0
 			}
-			if p.exceedsStream(events) {
+			count, lastID := scanEvents(events)
+			if p.exceedsStream(count, len(events)) {
 				conn.Discard()
 				return p.streamBroken(errStreamTooLong)
 			}
-			delivered, deliverErr := p.deliver(control, response, events)
-			if deliverErr != nil {
+			if deliverErr := p.deliver(control, response, events, count, lastID); deliverErr != nil {
 				conn.Discard()
 				return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: deliverErr}
 			}
 			// Comments and parts of an event do not extend the deadline: a stalled stream can
 			// go on sending them.
-			if delivered > 0 || len(events) == 0 {
+			if count > 0 || len(events) == 0 {
 				if deadlineErr := conn.SetResponseDeadline(p.stallDeadline()); deadlineErr != nil {
 					conn.Discard()
 					return p.streamBroken(deadlineErr)
@@ -115,12 +115,12 @@
 	}
 }
 
-// exceedsStream reports whether the stream would be too long with further events. An event holds
-// at least one token, but for one that ends the stream.
-func (p *proxyRequest) exceedsStream(events []byte) bool {
-	count, _ := scanEvents(events)
+// exceedsStream reports whether the stream would be too long with count more events, or with as
+// many bytes of comments if count is 0. An event holds at least one token, but for one that ends
+// the stream.
+func (p *proxyRequest) exceedsStream(count, size int) bool {
 	if count == 0 {
-		return p.stream.commentBytes+len(events) > maxCommentBytes
+		return p.stream.commentBytes+size > maxCommentBytes
 	}
 	return p.requestInfo.TokensDeclared && int64(p.stream.eventCount+count) > p.requestInfo.MaxOutputTokens+1
 }
@@ -176,22 +176,21 @@
 	return len(events)
 }
 
-// deliver forwards complete events to the caller and returns how many of them have data
-// or an ID.
-func (p *proxyRequest) deliver(control *http.ResponseController, response *http.Response, events []byte) (int, error) {
+// deliver forwards complete events to the caller. count of them have data or an ID, and lastID is the
+// last ID.
+func (p *proxyRequest) deliver(control *http.ResponseController, response *http.Response, events []byte, count int, lastID string) error {
 	if !p.stream.started {
 		p.stream.started = true
 		p.writeStreamHeader(control, response)
 	}
 	if len(events) == 0 {
-		return 0, nil
+		return nil
 	}
-	count, lastID := scanEvents(events)
 	if _, err := p.w.Write(events); err != nil {
-		return 0, err
+		return err
 	}
 	if err := control.Flush(); err != nil {
-		return 0, err
+		return err
 	}
 	p.stream.eventCount += count
 	p.stream.commentBytes += len(events)
@@ -202,7 +201,7 @@
 		p.stream.lastEventID = lastID
 	}
 	p.gate.stats.events.Inc(int64(count))
-	return count, nil
+	return nil
 }
 
 // writeStreamHeader sends a response header to the caller. A resumed stream continues
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -37,9 +37,9 @@
 	Metrics metrics.Registry
 }
 
-// Store reaches the platform's store directly or, while that fails, over relays. It
-// implements store.KV, store.StaleReader and PollingStore and is safe for
-// concurrent use. No other lock is acquired while its mutex is held.
+// Store reaches the platform's store directly or, while that fails, over relays. It implements
+// store.KV, store.StaleReader and PollingStore and is safe for concurrent use. No other lock is
+// acquired while its mutex is held.
 type Store struct {
 	opts          Options
 	pool          *ClientPool
--- a/internal/watchcache/client.go
+++ b/internal/watchcache/client.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// Next waits for changes under prefix after revision. A batch with store.ErrCompacted is a reply, too, not a failed call.
+// Next waits for changes under prefix after revision. A batch with store.ErrCompacted is a reply,
+// too, not a failed call.
 func (c *Client) Next(ctx context.Context, prefix string, revision int64) store.WatchBatch {
 	batch, err := hedge(ctx, c.hedgeDelay(prefix, nextHedgeDelay), func(ctx context.Context) (store.WatchBatch, bool) {
 		args := &NextArgs{Gate: c.opts.Gate, Prefix: prefix, Revision: revision}
--- a/internal/watchcache/feed.go
+++ b/internal/watchcache/feed.go
@@ -57,7 +57,8 @@
 	// confirmedAt is when the last successful call to the store was sent: the copy has all
 	// changes made before it.
 	confirmedAt bootclock.Instant
-	// err is why the last call failed, nil if it succeeded. completed counts the calls.
+	// err is why the last call to the store failed, nil if it succeeded. completed counts these
+	// calls.
 	err       error
 	completed int
 	askedAt   time.Time     // last call of a gate
@@ -97,13 +98,15 @@
 	backoff := minBackoff
 	for ctx.Err() == nil && f.inUse(time.Now()) {
 		f.polls.Inc(1)
-		delay := f.pollOnce(ctx)
-		if delay == 0 {
-			backoff = minBackoff
-			continue
-		}
-		if delay < 0 {
+		changed, err := f.pollOnce(ctx)
+		delay := time.Duration(0)
+		switch {
+		case err != nil:
 			delay, backoff = backoff, min(backoff*2, maxBackoff)
+		case changed:
+			delay, backoff = batchDelay, minBackoff
+		default:
+			backoff = minBackoff
 		}
 		select {
 		case <-ctx.Done():
@@ -112,9 +115,9 @@
 	}
 }
 
-// pollOnce makes one call to the store and returns the delay before the next one, negative for
-// the backoff after a failure.
-func (f *feed) pollOnce(ctx context.Context) time.Duration {
+// pollOnce makes one call to the store: it lists the entries if that was not done or the revision
+// was compacted, and waits for changes otherwise. It reports whether there were any.
+func (f *feed) pollOnce(ctx context.Context) (changed bool, err error) {
 	f.mu.Lock()
 	revision := f.revision
 	f.mu.Unlock()
@@ -122,7 +125,7 @@
 	if revision == 0 {
 		snapshot, err := f.store.List(ctx, f.prefix)
 		f.noteCall(err, func() { f.replace(snapshot, sentAt) })
-		return delayAfter(err, false)
+		return false, err
 	}
 	batch := f.store.Next(ctx, f.prefix, revision)
 	if errors.Is(batch.Err, store.ErrCompacted) {
@@ -130,20 +133,10 @@
 		f.mu.Lock()
 		f.revision = 0
 		f.mu.Unlock()
-		return time.Nanosecond // list at once
+		return false, nil
 	}
 	f.noteCall(batch.Err, func() { f.apply(batch, sentAt) })
-	return delayAfter(batch.Err, len(batch.Events) > 0)
-}
-
-func delayAfter(err error, changed bool) time.Duration {
-	switch {
-	case err != nil:
-		return -1
-	case changed:
-		return batchDelay
-	}
-	return 0
+	return len(batch.Events) > 0, batch.Err
 }
 
 // noteCall records the result of a call to the store and wakes the calls that wait for it. apply
@@ -259,8 +252,8 @@
 }
 
 // await waits until the copy is not older than maxAge and ready returns true, or until a call to
-// the store has completed, or for holdTime. It fails if the last call failed or none completed.
-// ready is called under mu.
+// the store has completed. It fails if that call or the last one before it failed, or after
+// holdTime. ready is called under mu.
 func (f *feed) await(ctx context.Context, ready func() bool) error {
 	ctx, cancel := context.WithTimeout(ctx, holdTime)
 	defer cancel()
--- a/internal/watchcache/simulation_test.go
+++ b/internal/watchcache/simulation_test.go
@@ -215,8 +215,8 @@
 	bareHosts int
 }
 
-func newDomain(t *testing.T, seed uint64, servers, gates int) *domain {
-	d := &domain{t: t, random: rand.New(rand.NewPCG(seed, 1)), mem: memstore.New(memstore.Options{ProgressInterval: time.Hour})}
+func newDomain(t *testing.T, seed uint64, servers, bareHosts, gates int) *domain {
+	d := &domain{t: t, bareHosts: bareHosts, random: rand.New(rand.NewPCG(seed, 1)), mem: memstore.New(memstore.Options{ProgressInterval: time.Hour})}
 	for range servers {
 		s := &testServer{link: &link{Store: d.mem, wait: PollWait}}
 		s.start(t)
@@ -343,7 +343,7 @@
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				d := newDomain(t, seed, 3, 6)
+				d := newDomain(t, seed, 3, 0, 6)
 				time.Sleep(contactTime)
 				for range 40 {
 					d.put()
@@ -366,8 +366,7 @@
 func TestCallsDoNotFollowGates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newDomain(t, 1, 3, 12)
-		d.bareHosts = 60
+		d := newDomain(t, 1, 3, 60, 12)
 		time.Sleep(20 * time.Second)
 		before := d.calls()
 		for range 30 {
@@ -384,7 +383,7 @@
 func TestFewGatesWatchAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newDomain(t, 1, 3, minGates-1)
+		d := newDomain(t, 1, 3, 0, minGates-1)
 		time.Sleep(30 * time.Second)
 		for _, s := range d.servers {
 			c.Check(s.link.calls, qt.Equals, 0)
@@ -401,7 +400,7 @@
 func TestGateCutFromStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newDomain(t, 1, 3, 6)
+		d := newDomain(t, 1, 3, 0, 6)
 		time.Sleep(10 * time.Second)
 		for _, g := range d.gates {
 			g.link.set(true, false)
@@ -420,7 +419,7 @@
 func TestCompactionListsOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newDomain(t, 1, 1, 12)
+		d := newDomain(t, 1, 1, 0, 12)
 		time.Sleep(20 * time.Second)
 		d.servers[0].link.set(true, false)
 		time.Sleep(10 * time.Second)
