Spread few workspaces over four quota servers, and prefer connected ones to a share of one's own

With other groups, TestFewHostsRunQuotaServers showed that a gate whose ten candidates refuse connections took a share of its own although it was connected to others. Change: at least four groups, so fleets with 24 workspaces and more keep theirs. Connected quota servers are tried after the candidates. The test compares reservations of gates' own after the first second with none, instead of their commits with three each, which the release of the first second's shares exceeded (15 for 12).

--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -71,6 +73,13 @@
 	return client, nil
 }
 
+// Connected returns the addresses with an open connection.
+func (p *ClientPool) Connected() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.clients))
+}
+
 // noteDial counts a refused connection.
 func (p *ClientPool) noteDial(address string, err error) {
 	if !Refused(err) {
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -332,12 +332,11 @@
 		c := qt.New(t)
 		s := newSimulation(t, 1, 4, 5, 40_000_000)
 		s.bareHosts = 95
-		own := func() int {
-			commits := 0
+		own := func() (reservations int64) {
 			for _, g := range s.gates {
-				commits += g.store.Commits()
+				reservations += g.client.stats.fallback.Count()
 			}
-			return commits
+			return reservations
 		}
 		run := func(requests int) {
 			for range requests {
@@ -351,13 +350,26 @@
 		_, refused, slowest := s.totals()
 		c.Check(refused, qt.Equals, 0)
 		c.Check(slowest < 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", slowest))
-		// Shares of the first second are released.
-		c.Check(own()-before <= 3*len(s.gates), qt.IsTrue, qt.Commentf("%d commits of gates", own()-before))
+		c.Check(own(), qt.Equals, before)
 		s.stopAll()
 		time.Sleep(5 * time.Second)
 	})
 }
 
+// The loss of one quota server must not reach most workspaces of a fleet that has few.
+func TestFewWorkspacesAreSpread(t *testing.T) {
+	c := qt.New(t)
+	for _, workspaces := range []int{1, 5, 10, 24} {
+		counts := make(map[string]int)
+		for i := range 1000 {
+			counts[workspaceGroup(fmt.Sprint("ws-", i), workspaces)]++
+		}
+		for group, n := range counts {
+			c.Check(n < 400, qt.IsTrue, qt.Commentf("%d of 1000 workspaces in group %s of a fleet with %d", n, group, workspaces))
+		}
+	}
+}
+
 // Workspaces must be spread over groups of a few each, at any number of workspaces, and one more
 // workspace must not move the others.
 func TestWorkspaceGroup(t *testing.T) {
