Look up connected quota servers only if the first candidates did not suffice

Cause: reading the change anew: each reservation compared all connected quota servers with all addresses, about 500,000 comparisons of names at the target size, although the first candidate nearly always replies. Change: the candidates are a sequence; the order and the addresses are the same.

--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"iter"
 	"log/slog"
 	"slices"
 	"sync/atomic"
@@ -111,7 +112,7 @@
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
 	group, attempts := workspaceGroup(req.Workspace, c.opts.Workspaces()), 0
-	for _, address := range c.candidates(group) {
+	for address := range c.candidates(group) {
 		reservation, elsewhere, err := c.tryServer(ctx, address, req)
 		if err == nil {
 			c.stats.granted.Inc(1)
@@ -151,15 +152,27 @@
 	return second
 }
 
-// candidates returns the addresses to try for a group: the first of its ranking, then servers that
-// are connected already, for hosts of which most run no quota server.
-func (c *Client) candidates(group string) []string {
-	available := c.available()
-	first := rendezvous.Rank(group, available, maxCandidates)
-	connected := slices.DeleteFunc(c.pool.Connected(), func(address string) bool {
-		return slices.Contains(first, address) || !slices.Contains(available, address)
-	})
-	return append(first, rendezvous.Rank(group, connected, maxServerAttempts)...)
+// candidates yields the addresses to try for a group: the first of its ranking, then servers that
+// are connected already, for hosts of which most run no quota server. The latter are looked up only
+// if the first did not suffice.
+func (c *Client) candidates(group string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		available := c.available()
+		first := rendezvous.Rank(group, available, maxCandidates)
+		for _, address := range first {
+			if !yield(address) {
+				return
+			}
+		}
+		connected := slices.DeleteFunc(c.pool.Connected(), func(address string) bool {
+			return slices.Contains(first, address) || !slices.Contains(available, address)
+		})
+		for _, address := range rendezvous.Rank(group, connected, maxServerAttempts) {
+			if !yield(address) {
+				return
+			}
+		}
+	}
 }
 
 // available returns the quota servers that are not in backoff.
