Keep the response of a silent server until another server has taken over

What callers saw: the connection of a stream ended without the rest of the stream although its server was sound and went on a second later. Idempotent requests got a 502 for the same reason. Cause: a resumable stream was given up three event gaps after its last event, and an idempotent request 1.5 latency objectives after it was sent, before another server had taken over. If none did (retry budget used up, no server left, refusal, reset, error, missing event), nothing was left to relay. Change: a silent server's connection stays open, since the wait for its bytes consumes none. While another server is tried, whichever sends an event first goes on, and the other one's connection is closed. If no other can be tried or none takes over, the silent server is waited for until the deadline.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -170,9 +170,9 @@
 	return &Attempt{server: s, class: class, started: now}
 }
 
-// FirstByte records the first byte of the response. Further calls do nothing.
+// FirstByte records the first byte of the response. Further calls, and those after End, do nothing.
 func (a *Attempt) FirstByte(now time.Time) {
-	if a.gotFirstByte {
+	if a.gotFirstByte || a.ended {
 		return
 	}
 	a.gotFirstByte, a.timeToFirstByte = true, now.Sub(a.started)
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -10,6 +10,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/monsoonworks/monsoonworks/internal/admission"
 	"github.com/monsoonworks/monsoonworks/internal/catalog"
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
 	"github.com/monsoonworks/monsoonworks/internal/placement"
@@ -52,6 +53,10 @@
 	// no further attempt is made.
 	response *http.Response
 	body     []byte
+	// silent is the response of a server that was silent for too long. It can be continued.
+	silent *pendingResponse
+	// overtaken means that a silent server has continued before this one responded.
+	overtaken bool
 }
 
 // attemptRecord is the log entry of one attempt.
@@ -74,26 +79,52 @@
 func (p *proxyRequest) forward() (complete bool) {
 	retryBudget := p.gate.retryBudget(p.service.Name)
 	retryBudget.CountRequest()
-	var last *outcome
+	defer p.discardSilent()
+	var last, reported *outcome
 	for {
-		server, reason := p.choose()
-		if server == nil || time.Until(p.deadline) < minRemaining {
-			break
+		out, ok := p.nextAttempt(last, retryBudget)
+		if !ok {
+			return p.finish(reported)
 		}
-		if p.attemptsSent > 0 && !retryBudget.Allow() {
-			p.gate.stats.retriesDenied.Inc(1)
-			break
-		}
-		out := p.attempt(server, reason)
-		last = &out
 		if out.done {
 			return !out.truncated
 		}
-		if !p.canRetry(out) {
-			break
+		if out.silent != nil {
+			p.setSilent(out.silent)
+		}
+		last = &out
+		if reported == nil || reported.response == nil {
+			reported = &out
 		}
 	}
-	return p.finish(last)
+}
+
+// nextAttempt makes an attempt after one with the outcome last, nil before the first. If it cannot,
+// it goes on with a server that was silent. It reports false if there is none.
+func (p *proxyRequest) nextAttempt(last *outcome, retryBudget *admission.RetryBudget) (outcome, bool) {
+	if last == nil || !last.overtaken && p.canRetry(*last) {
+		if server, reason := p.chooseNext(retryBudget); server != nil {
+			return p.attempt(server, reason), true
+		}
+	}
+	if p.silent != nil {
+		return p.continueSilent(), true
+	}
+	return outcome{}, false
+}
+
+// chooseNext picks the server for the next attempt, nil if there is none, no time or no retry
+// budget left.
+func (p *proxyRequest) chooseNext(retryBudget *admission.RetryBudget) (*fleet.Server, placement.Reason) {
+	server, reason := p.choose()
+	if server == nil || time.Until(p.deadline) < minRemaining {
+		return nil, ""
+	}
+	if p.attemptsSent > 0 && !retryBudget.Allow() {
+		p.gate.stats.retriesDenied.Inc(1)
+		return nil, ""
+	}
+	return server, reason
 }
 
 // canRetry reports whether the request may be sent to another server after an
@@ -161,6 +192,9 @@
 	if out.verdict != verdict.NotRun {
 		p.mayHaveRun = true
 	}
+	if out.silent != nil {
+		out.silent.server, out.silent.attempt = s, attempt
+	}
 	return out
 }
 
@@ -202,7 +236,7 @@
 	}
 	// After a failed write there may still be a response: a server can refuse a body
 	// before it has read all of it.
-	return p.readResponse(conn, attempt)
+	return p.readResponse(conn, attempt, p.firstByteDeadline())
 }
 
 // connectFailure returns the outcome of an attempt that got no connection.
@@ -237,13 +271,16 @@
 	return info
 }
 
-// readResponse reads responses until the one to this request arrives.
-func (p *proxyRequest) readResponse(conn *upstream.Conn, attempt *fleet.Attempt) outcome {
-	deadline := p.firstByteDeadline()
+// readResponse reads responses until the one to this request arrives. deadline is when to stop
+// waiting for the first byte.
+func (p *proxyRequest) readResponse(conn *upstream.Conn, attempt *fleet.Attempt, deadline time.Time) outcome {
 	if err := conn.SetResponseDeadline(deadline); err != nil {
 		conn.Discard()
 		return p.connectionLost(err)
 	}
+	if out, ok := p.await(&pendingResponse{conn: conn}); !ok {
+		return out
+	}
 	for range maxMismatchedResponses + 1 {
 		response, err := conn.ReadResponse(p.r.Method)
 		if err != nil {
@@ -342,7 +379,7 @@
 		conn.Discard()
 		return outcome{result: fleet.ConnectionFailed, verdict: verdict.Unknown, code: verdict.CodeServerError, err: errInvalidResponse}
 	case p.route.Kind == catalog.Stream && status < 300:
-		return p.relayStream(conn, response, info)
+		return p.relayStream(&pendingResponse{conn: conn, response: response, info: info, resuming: p.stream.started})
 	}
 	return p.relayBuffered(conn, response, info)
 }
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
-	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -47,72 +46,91 @@
 
 // relayStream forwards events as they arrive. Only complete events are forwarded,
 // so that the stream can be resumed on another server if this one fails.
-func (p *proxyRequest) relayStream(conn *upstream.Conn, response *http.Response, info ResponseInfo) outcome {
+func (p *proxyRequest) relayStream(r *pendingResponse) outcome {
 	control := http.NewResponseController(p.w)
-	buffer := make([]byte, 0, streamBufferBytes)
-	resuming := p.stream.started
-	if resuming {
-		p.gate.stats.streamsResumed.Inc(1)
+	if r.buffer == nil {
+		r.buffer = make([]byte, 0, streamBufferBytes)
+		if r.resuming {
+			p.gate.stats.streamsResumed.Inc(1)
+		}
 	}
-	if err := conn.SetResponseDeadline(p.stallDeadline()); err != nil {
-		conn.Discard()
+	if err := r.conn.SetResponseDeadline(p.stallDeadline(r)); err != nil {
+		r.conn.Discard()
 		return p.streamBroken(err)
 	}
 	for {
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if completeLen := completeEventsLen(buffer); completeLen > 0 {
-			events := buffer[:completeLen]
-			if resuming {
-				var contiguous bool
-				if events, contiguous = skipDelivered(events, p.stream.lastEventID); !contiguous {
-					conn.Discard()
-					return p.streamBroken(errNotContiguous)
-				}
-				resuming = len(events) == 0
-			}
-			count, lastID := scanEvents(events)
-			if p.exceedsStream(count, len(events)) {
-				conn.Discard()
-				return p.streamBroken(errStreamTooLong)
-			}
-			if deliverErr := p.deliver(control, response, events, count, lastID); deliverErr != nil {
-				conn.Discard()
-				return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: deliverErr}
+		if completeLen := completeEventsLen(r.buffer); completeLen > 0 {
+			if out, ok := p.relayEvents(control, r, r.buffer[:completeLen]); !ok {
+				r.conn.Discard()
+				return out
 			}
-			// Comments and parts of an event do not extend the deadline: a stalled stream can
-			// go on sending them.
-			if count > 0 || len(events) == 0 {
-				if deadlineErr := conn.SetResponseDeadline(p.stallDeadline()); deadlineErr != nil {
-					conn.Discard()
-					return p.streamBroken(deadlineErr)
-				}
-			}
-			buffer = append(buffer[:0], buffer[completeLen:]...)
+			r.buffer = append(r.buffer[:0], r.buffer[completeLen:]...)
 		}
 		switch {
-		case err == io.EOF && len(buffer) == 0:
-			conn.Release(response, info.ID != "", info.IdleTimeout)
-			return p.streamCompleted(response)
-		case err == io.EOF:
-			conn.Discard()
+		case r.err == io.EOF && len(r.buffer) == 0:
+			r.conn.Release(r.response, r.info.ID != "", r.info.IdleTimeout)
+			return p.streamCompleted(r.response)
+		case r.err == io.EOF:
+			r.conn.Discard()
 			return p.streamBroken(io.ErrUnexpectedEOF)
-		case err != nil:
-			conn.Discard()
-			return p.streamBroken(err)
+		case r.err != nil:
+			r.conn.Discard()
+			return p.streamBroken(r.err)
 		}
-		if len(buffer) == cap(buffer) {
-			if cap(buffer) >= maxEventBytes {
-				conn.Discard()
-				return p.streamBroken(errEventTooLarge)
-			}
-			var growErr error
-			if buffer, growErr = growBuffer(buffer, 2*int64(cap(buffer)), &p.memory); growErr != nil {
-				conn.Discard()
-				return p.streamBroken(growErr)
+		if len(r.buffer) == cap(r.buffer) {
+			if err := p.growStreamBuffer(r); err != nil {
+				r.conn.Discard()
+				return p.streamBroken(err)
 			}
 		}
+		if out, ok := p.await(r); !ok {
+			return out
+		}
+		r.read()
+	}
+}
+
+// relayEvents forwards complete events of a response and extends its deadline. It reports false,
+// with the outcome of the attempt, if the stream cannot go on.
+func (p *proxyRequest) relayEvents(control *http.ResponseController, r *pendingResponse, events []byte) (outcome, bool) {
+	if r.resuming {
+		var contiguous bool
+		if events, contiguous = skipDelivered(events, p.stream.lastEventID); !contiguous {
+			return p.streamBroken(errNotContiguous), false
+		}
+		r.resuming = len(events) == 0
+	}
+	count, lastID := scanEvents(events)
+	if p.exceedsStream(count, len(events)) {
+		return p.streamBroken(errStreamTooLong), false
+	}
+	if err := p.deliver(control, r.response, events, count, lastID); err != nil {
+		return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: err}, false
+	}
+	if count > 0 {
+		p.discardSilent() // this server has taken over
+		r.waited = false
+	}
+	// Comments and parts of an event do not extend the deadline: a stalled stream can
+	// go on sending them.
+	if count > 0 || len(events) == 0 {
+		if err := r.conn.SetResponseDeadline(p.stallDeadline(r)); err != nil {
+			return p.streamBroken(err), false
+		}
+	}
+	return outcome{}, true
+}
+
+// growStreamBuffer doubles the buffer of a response, up to maxEventBytes.
+func (p *proxyRequest) growStreamBuffer(r *pendingResponse) error {
+	if cap(r.buffer) >= maxEventBytes {
+		return errEventTooLarge
+	}
+	grown, err := growBuffer(r.buffer, 2*int64(cap(r.buffer)), &p.memory)
+	if err == nil {
+		r.buffer = grown
 	}
+	return err
 }
 
 // exceedsStream reports whether the stream would be too long with count more events, or with as
@@ -129,8 +147,8 @@
 // request's deadline, or, if the stream can be resumed on another server, after
 // stallGaps times EventGapObjective if that is earlier. Until the first event it waits
 // at least for the latency objective.
-func (p *proxyRequest) stallDeadline() time.Time {
-	if !p.route.Resumable || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
+func (p *proxyRequest) stallDeadline(r *pendingResponse) time.Time {
+	if r.waited || !p.route.Resumable || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
 		return p.deadline
 	}
 	gap := p.route.EventGapObjective * stallGaps
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -156,6 +156,13 @@
 	return nil
 }
 
+// Await waits until there are bytes to read, and consumes none. After a timeout the response can
+// still be read.
+func (c *Conn) Await() error {
+	_, err := c.reader.Peek(1)
+	return err
+}
+
 // ReadResponse reads the head of the next response. It skips informational (1xx)
 // responses. It fails with ErrHeadTooLarge after maxHeadBytes.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
