Resume a broken stream only with an event stream

A response that is not a 200 with an event stream, or without a content type, cannot continue a stream. It counts as a failed attempt: another server is tried, or the caller's connection is aborted after the events so far. The check replaces those for error statuses in relayBuffered.

TestBrokenStreamNotContinuedByError failed before for text, text of events, JSON, an odd type and status 206 with every end of the body, and for empty text with a marked end or a closed or reset connection; the error statuses passed. All pass now.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 	"strconv"
@@ -378,12 +379,25 @@
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
 		conn.Discard()
 		return outcome{result: fleet.ConnectionFailed, verdict: verdict.Unknown, code: verdict.CodeServerError, err: errInvalidResponse}
+	case p.stream.started && !continuesStream(response):
+		conn.Release(response, info.ID != "" && drainBody(response), info.IdleTimeout)
+		return outcome{result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError, err: errNoContinuation}
 	case p.route.Kind == catalog.Stream && status < 300:
 		return p.relayStream(&pendingResponse{conn: conn, response: response, info: info, resuming: p.stream.started})
 	}
 	return p.relayBuffered(conn, response, info)
 }
 
+var errNoContinuation = errors.New("the response is not the continuation of an event stream")
+
+// continuesStream reports whether the body of a response can continue a stream that another server
+// began.
+func continuesStream(response *http.Response) bool {
+	contentType := response.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return response.StatusCode == http.StatusOK && (contentType == "" || err == nil && mediaType == "text/event-stream")
+}
+
 var errInvalidResponse = errors.New("invalid response: encoded, without a server stamp, or a refusal without the not-run header")
 
 // impliesNotRun reports whether callers take a status to mean that the request did
@@ -409,16 +423,12 @@
 	if err != nil {
 		return p.connectionLost(err)
 	}
-	if response.StatusCode >= http.StatusInternalServerError && !p.stream.started {
+	if response.StatusCode >= http.StatusInternalServerError {
 		return outcome{
 			result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError,
 			response: response, body: body,
 		}
 	}
-	if p.stream.started {
-		// A resumed stream cannot continue with an error response.
-		return outcome{result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError}
-	}
 	p.writeResponse(response, body)
 	ran := verdict.Ran
 	if info.NotRun {
--- /dev/null
+++ b/internal/gate/broken_stream_test.go
@@ -0,0 +1,113 @@
+package gate
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// breakAfter sends the first events and then breaks off the stream, in the middle of an event.
+func breakAfter(last int) script {
+	return func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		writeEvents(conn, 1, last)
+		writeChunk(conn, fmt.Sprintf("id: %d\nda", last+1))
+		return false
+	}
+}
+
+// framing is how the end of a response's body is marked.
+type framing string
+
+const (
+	withLength    framing = "length"
+	inChunks      framing = "chunks"
+	untilClose    framing = "close"
+	untilReset    framing = "reset" // like untilClose, but the connection is reset
+	lengthTooLong framing = "length too long"
+	noLastChunk   framing = "no last chunk"
+)
+
+// respondWith returns a script that sends a response with a body that ends as f says. ID in the
+// header is replaced by the request's ID.
+func respondWith(status int, header, body string, f framing) script {
+	return func(_ int, r *http.Request, conn net.Conn) bool {
+		head := fmt.Sprintf("HTTP/1.1 %d X\r\n%s", status, strings.ReplaceAll(header, "ID", r.Header.Get("Id")))
+		switch f {
+		case withLength:
+			return writeRaw(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
+		case lengthTooLong:
+			writeRaw(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+1, body))
+		case inChunks, noLastChunk:
+			writeRaw(conn, head+"Transfer-Encoding: chunked\r\n\r\n")
+			if body != "" {
+				writeChunk(conn, body)
+			}
+			return f == inChunks && writeRaw(conn, "0\r\n\r\n")
+		default:
+			writeRaw(conn, head+"Connection: close\r\n\r\n"+body)
+			if f == untilReset {
+				time.Sleep(20 * time.Millisecond) // a reset can overtake data that was not read
+				return resetConn(0, r, conn)
+			}
+		}
+		return false
+	}
+}
+
+const (
+	stampedHead = "Id: ID\r\nStamp: s\r\n"
+	streamHead  = stampedHead + "Content-Type: text/event-stream\r\n"
+)
+
+var allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
+
+// brokenFor fails unless a stream that broke off after three events, with the given response as its
+// continuation, ends as broken, after one more event at most.
+func brokenFor(t *testing.T, name string, status int, header, body string) {
+	for _, end := range allFramings {
+		t.Run(name+", "+string(end), func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, breakAfter(3), respondWith(status, header, body, end))
+			got := f.request("POST", "/resume/")
+			f.c.Check(got.err, qt.IsNotNil)
+			f.c.Check(got.status, qt.Equals, 200)
+			f.c.Check(got.header.Get("Content-Type"), qt.Equals, "text/event-stream")
+			if got.body != formatEvents(1, 4) {
+				f.c.Check(got.body, qt.Equals, formatEvents(1, 3))
+			}
+		})
+	}
+}
+
+// A stream that broke off must not go on with an error, nor end as complete: its caller gets the
+// events so far, and its connection is aborted.
+func TestBrokenStreamNotContinuedByError(t *testing.T) {
+	for name, response := range map[string]struct {
+		status       int
+		header, body string
+	}{
+		"400":            {400, stampedHead, "bad\n\nrequest\n\n"},
+		"404":            {404, streamHead, formatEvents(4, 5)},
+		"500":            {500, stampedHead, "failed\n\n"},
+		"502 no stamp":   {502, "Content-Type: text/html\r\n", "<html>\n\n</html>\n\n"},
+		"503 not run":    {503, "Id: ID\r\nNot-Run: 1\r\n", "busy\n\n"},
+		"400 not run":    {400, "Id: ID\r\nNot-Run: 1\r\n", "no ID\n\n"},
+		"503":            {503, stampedHead, "busy\n\n"},
+		"302":            {302, stampedHead + "Location: /\r\n", "moved\n\n"},
+		"206":            {206, streamHead, formatEvents(4, 5)},
+		"200 no stamp":   {200, "Id: ID\r\nContent-Type: text/event-stream\r\n", formatEvents(4, 5)},
+		"text":           {200, stampedHead + "Content-Type: text/plain\r\n", "failed\n\nto\n\n"},
+		"text of events": {200, stampedHead + "Content-Type: text/plain\r\n", formatEvents(4, 5)},
+		"JSON":           {200, stampedHead + "Content-Type: application/json\r\n", "{\"error\":\n\n\"failed\"}\n\n"},
+		"empty text":     {200, stampedHead + "Content-Type: text/plain\r\n", ""},
+		"odd type":       {200, stampedHead + "Content-Type: ;;\r\n", formatEvents(4, 5)},
+	} {
+		brokenFor(t, name, response.status, response.header, response.body)
+	}
+}
