Check every event of a stream's continuation

Only the first events that arrived from the server that resumes a stream were compared with the last one that the caller has, and events without an ID, or with one that is no number, passed.

All events of a continuation are checked now: each must be the next one by its ID. Events that the caller has are removed only before the first new one. Comments pass; anything else breaks the stream, which is resumed at another server or aborted. The first server's response is still relayed unchanged.

TestBrokenStreamNotContinuedByOtherEvents failed before for 12 of its 17 bodies with every end of the body, and TestBrokenStreamContinued for repeated events after a comment. Both pass now.

--- a/internal/gate/broken_stream_test.go
+++ b/internal/gate/broken_stream_test.go
@@ -33,6 +33,9 @@
 	noLastChunk   framing = "no last chunk"
 )
 
+// broken reports whether the response is not complete.
+func (f framing) broken() bool { return f == untilReset || f == lengthTooLong || f == noLastChunk }
+
 // respondWith returns a script that sends a response with a body that ends as f says. ID in the
 // header is replaced by the request's ID.
 func respondWith(status int, header, body string, f framing) script {
@@ -63,9 +66,14 @@
 const (
 	stampedHead = "Id: ID\r\nStamp: s\r\n"
 	streamHead  = stampedHead + "Content-Type: text/event-stream\r\n"
+	errorText   = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfailed\r\n\r\n"
 )
 
-var allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
+var (
+	allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
+	// framingsWithoutReset are those that TestResetStreamNotComplete does not cover.
+	framingsWithoutReset = []framing{withLength, inChunks, untilClose, lengthTooLong, noLastChunk}
+)
 
 // brokenFor fails unless a stream that broke off after three events, with the given response as its
 // continuation, ends as broken, after one more event at most.
@@ -111,3 +119,61 @@
 		brokenFor(t, name, response.status, response.header, response.body)
 	}
 }
+
+// A stream that broke off must not go on with events that are not those after the last one, nor with
+// an error among them.
+func TestBrokenStreamNotContinuedByOtherEvents(t *testing.T) {
+	for name, body := range map[string]string{
+		"head":               errorText,
+		"head after event":   formatEvent(4) + errorText,
+		"text":               "internal server error\n\n",
+		"text after event":   formatEvent(4) + "internal server error\n\n",
+		"no IDs":             "data: e4\n\ndata: e5\n\n",
+		"error event":        "event: error\ndata: failed\n\n",
+		"no ID after event":  formatEvent(4) + "data: failed\n\n",
+		"ID is no number":    "id: x\ndata: e4\n\n",
+		"empty ID":           "id:\ndata: e4\n\n",
+		"gap":                formatEvents(5, 6),
+		"gap after event":    formatEvent(4) + formatEvent(6),
+		"back":               formatEvent(4) + formatEvent(3),
+		"twice":              formatEvent(4) + formatEvent(4),
+		"ends inside event":  formatEvent(4) + "id: 5\nda",
+		"ends inside line":   "id: 4\ndata: e4",
+		"ends inside text":   "internal server error",
+		"empty line missing": "id: 4\ndata: e4\n",
+	} {
+		brokenFor(t, name, 200, streamHead, body)
+	}
+}
+
+// A continuation must be delivered once and in order however its end is marked, and without a
+// mark of its end the stream must not end as complete.
+func TestBrokenStreamContinued(t *testing.T) {
+	const comment = ": wait\n\n"
+	for name, body := range map[string]string{
+		"next":        formatEvents(4, 6),
+		"starts over": formatEvents(1, 6),
+		"overlap":     formatEvents(3, 6),
+		"repeated":    comment + formatEvents(3, 6),
+		"comments":    comment + formatEvent(4) + comment + formatEvents(5, 6) + comment,
+		"first line":  "x-version: 3\n" + formatEvents(4, 6),
+		"CRLF":        strings.ReplaceAll(formatEvents(4, 6), "\n", "\r\n"),
+		"retry":       "retry: 100\n\n" + formatEvents(4, 6),
+	} {
+		for _, end := range framingsWithoutReset {
+			t.Run(name+", "+string(end), func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, breakAfter(3), respondWith(200, streamHead, body, end))
+				got := f.request("POST", "/resume/")
+				events := strings.NewReplacer(comment, "", "x-version: 3\n", "", "\r", "", "retry: 100\n\n", "").Replace(got.body)
+				if end.broken() {
+					f.c.Check(got.err, qt.IsNotNil)
+					f.c.Check(strings.HasPrefix(formatEvents(1, 6), events), qt.IsTrue, qt.Commentf("%q", got.body))
+					return
+				}
+				f.c.Check(got.err, qt.IsNil)
+				f.c.Check(events, qt.Equals, formatEvents(1, 6))
+			})
+		}
+	}
+}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -29,7 +29,9 @@
 
 // streamState is what the caller has received of a stream.
 type streamState struct {
-	started     bool
+	started bool
+	// resumed means that the last events came from another server than the first ones.
+	resumed     bool
 	lastEventID string
 	eventCount  int
 	// commentBytes is the size of the comments since the last event.
@@ -93,14 +95,17 @@
 // relayEvents forwards complete events of a response and extends its deadline. It reports false,
 // with the outcome of the attempt, if the stream cannot go on.
 func (p *proxyRequest) relayEvents(control *http.ResponseController, r *pendingResponse, events []byte) (outcome, bool) {
-	if r.resuming {
+	if r.resuming || p.stream.resumed {
 		var contiguous bool
-		if events, contiguous = skipDelivered(events, p.stream.lastEventID); !contiguous {
+		if events, contiguous = p.continueEvents(events, !r.resuming); !contiguous {
 			return p.streamBroken(errNotContiguous), false
 		}
-		r.resuming = len(events) == 0
 	}
 	count, lastID := scanEvents(events)
+	if r.resuming && count > 0 {
+		_, p.stream.resumed = p.resumePoint()
+		r.resuming = false
+	}
 	if p.exceedsStream(count, len(events)) {
 		return p.streamBroken(errStreamTooLong), false
 	}
@@ -161,27 +166,62 @@
 	return p.deadline
 }
 
-// skipDelivered removes the events that the caller has already received from those
-// of a resumed stream. It reports false if the event that should follow them is
-// missing. Non-numeric IDs have no order, so their events are returned unchanged.
-func skipDelivered(events []byte, lastID string) (rest []byte, contiguous bool) {
-	delivered, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
+// resumePoint returns the ID of the last event that the caller has. It reports false if the caller
+// has none, or if its ID is not a number.
+func (p *proxyRequest) resumePoint() (id int64, ok bool) {
+	id, err := strconv.ParseInt(p.stream.lastEventID, 10, 64)
+	return id, err == nil
+}
+
+// continueEvents removes the events that the caller has from those of a resumed stream. It reports
+// false if the rest does not continue the stream. Without a resume point there is nothing to
+// continue, and the events are returned unchanged.
+func (p *proxyRequest) continueEvents(events []byte, begun bool) (rest []byte, contiguous bool) {
+	delivered, ok := p.resumePoint()
+	if !ok {
 		return events, true
 	}
-	for len(events) > 0 {
-		n := firstEventLen(events)
-		_, id := scanEvents(events[:n])
-		number, err := strconv.ParseInt(id, 10, 64)
-		if err != nil || number == delivered+1 {
-			return events, true
+	return continuation(events, delivered, begun)
+}
+
+// continuation removes the events up to the ID delivered, and the comments among them, from the
+// start of events. It reports false if the rest are not the events after that ID, in order and
+// without a gap: the server may have sent something else than the stream. begun means that the
+// server has sent events after those that the caller had, so that none may be repeated.
+func continuation(events []byte, delivered int64, begun bool) (rest []byte, contiguous bool) {
+	rest = events
+	for at := 0; at < len(events); {
+		n := firstEventLen(events[at:])
+		event := events[at : at+n]
+		at += n
+		if isComment(event) {
+			continue
 		}
-		if number > delivered {
+		_, text := scanEvents(event)
+		id, err := strconv.ParseInt(text, 10, 64)
+		switch {
+		case err != nil:
 			return nil, false
+		case id <= delivered && !begun:
+			rest = events[at:]
+		case id == delivered+1:
+			delivered, begun = id, true
+		default:
+			return nil, false
+		}
+	}
+	return rest, true
+}
+
+// isComment reports whether a complete event has only comments and reconnection times.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			return false
 		}
-		events = events[n:]
 	}
-	return nil, true
+	return true
 }
 
 // firstEventLen returns the length of the first of the given complete events.
