Find the first event of a continuation in linear time

The length of the first event was found by trying every prefix, each with a search from its end. An empty line after a line with another line end was missed, so that two events counted as one, and text between them passed.

Lines are read one by one now.

--- a/internal/gate/broken_stream_test.go
+++ b/internal/gate/broken_stream_test.go
@@ -71,7 +71,7 @@
 
 var (
 	allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
-	// framingsWithoutReset are those that TestResetStreamNotComplete does not cover.
+	// framingsWithoutReset leaves out a reset, which upstream.Conn.Await does not pass on.
 	framingsWithoutReset = []framing{withLength, inChunks, untilClose, lengthTooLong, noLastChunk}
 )
 
@@ -137,6 +137,7 @@
 		"gap after event":    formatEvent(4) + formatEvent(6),
 		"back":               formatEvent(4) + formatEvent(3),
 		"twice":              formatEvent(4) + formatEvent(4),
+		"mixed line ends":    formatEvent(4) + "failed\n\r\n" + formatEvent(5),
 		"ends inside event":  formatEvent(4) + "id: 5\nda",
 		"ends inside line":   "id: 4\ndata: e4",
 		"ends inside text":   "internal server error",
@@ -177,3 +178,14 @@
 		}
 	}
 }
+
+// An event of a continuation that arrives in small parts must not take time that grows with the
+// square of its size.
+func TestLargeEventOfContinuation(t *testing.T) {
+	large := "id: 4\ndata: " + strings.Repeat("x", 200<<10) + "\n\n"
+	f := newFixture(t, breakAfter(3), respondWith(200, streamHead, large, inChunks))
+	got := f.request("POST", "/resume/")
+	f.c.Check(got.err, qt.IsNil)
+	f.c.Check(got.body == formatEvents(1, 3)+large, qt.IsTrue)
+	f.c.Check(got.elapsed < time.Second, qt.IsTrue, qt.Commentf("%v", got.elapsed))
+}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -226,12 +226,14 @@
 
 // firstEventLen returns the length of the first of the given complete events.
 func firstEventLen(events []byte) int {
-	for n := 1; n < len(events); n++ {
-		if completeEventsLen(events[:n]) == n {
-			return n
+	size := 0
+	for line := range bytes.Lines(events) {
+		size += len(line)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
 		}
 	}
-	return len(events)
+	return size
 }
 
 // deliver forwards complete events to the caller. count of them have data or an ID, and lastID is the
