Resume a stream only after an event with an ID

A stream whose last event had no ID, or one that is no number, was sent to another server after it broke off, without a place to go on from.

Such a stream is aborted, and a pause in it does not move it. An ID counts only for its own event: a later event without one has none.

TestStreamWithoutIDsNotResumed failed before: the second server got the request, and its events followed the first ones in a complete response. It passes now.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -134,7 +134,7 @@
 	if p.attemptsSent >= p.route.MaxAttempts || p.r.Context().Err() != nil {
 		return false
 	}
-	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent()
+	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent() && p.canResume()
 }
 
 // finish ends a request that no server completed successfully. It reports whether
--- a/internal/gate/broken_stream_test.go
+++ b/internal/gate/broken_stream_test.go
@@ -179,6 +179,23 @@
 	}
 }
 
+// A stream of events that cannot be told apart must not be resumed: its events would come twice.
+func TestStreamWithoutIDsNotResumed(t *testing.T) {
+	for name, event := range map[string]string{"no IDs": "data: x\n\n", "words": "id: a\ndata: x\n\n", "last without ID": formatEvent(1) + "data: x\n\n"} {
+		for _, second := range []string{event + event, formatEvents(1, 3), formatEvents(2, 3)} {
+			f := newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
+				writeEventStreamHeader(conn, r)
+				writeChunk(conn, event)
+				return false
+			}, respondWith(200, streamHead, second, inChunks))
+			got := f.request("POST", "/resume/")
+			f.c.Check(got.err, qt.IsNotNil, qt.Commentf("%s", name))
+			f.c.Check(got.body, qt.Equals, event, qt.Commentf("%s", name))
+			f.c.Check(len(f.servers[1].received()), qt.Equals, 0, qt.Commentf("%s", name))
+		}
+	}
+}
+
 // An event of a continuation that arrives in small parts must not take time that grows with the
 // square of its size.
 func TestLargeEventOfContinuation(t *testing.T) {
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -31,7 +31,8 @@
 type streamState struct {
 	started bool
 	// resumed means that the last events came from another server than the first ones.
-	resumed     bool
+	resumed bool
+	// lastEventID is the ID of the last event, empty if it has none.
 	lastEventID string
 	eventCount  int
 	// commentBytes is the size of the comments since the last event.
@@ -153,7 +154,7 @@
 // stallGaps times EventGapObjective if that is earlier. Until the first event it waits
 // at least for the latency objective.
 func (p *proxyRequest) stallDeadline(r *pendingResponse) time.Time {
-	if r.waited || !p.route.Resumable || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
+	if r.waited || !p.route.Resumable || !p.canResume() || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
 		return p.deadline
 	}
 	gap := p.route.EventGapObjective * stallGaps
@@ -173,6 +174,13 @@
 	return id, err == nil
 }
 
+// canResume reports whether another server could continue the stream: the caller has no event, or
+// the ID of the last one tells which is next.
+func (p *proxyRequest) canResume() bool {
+	_, ok := p.resumePoint()
+	return ok || p.stream.eventCount == 0
+}
+
 // continueEvents removes the events that the caller has from those of a resumed stream. It reports
 // false if the rest does not continue the stream. Without a resume point there is nothing to
 // continue, and the events are returned unchanged.
@@ -255,10 +263,7 @@
 	p.stream.eventCount += count
 	p.stream.commentBytes += len(events)
 	if count > 0 {
-		p.stream.commentBytes = 0
-	}
-	if lastID != "" {
-		p.stream.lastEventID = lastID
+		p.stream.commentBytes, p.stream.lastEventID = 0, lastID
 	}
 	p.gate.stats.events.Inc(int64(count))
 	return nil
@@ -307,10 +312,10 @@
 	return end
 }
 
-// scanEvents counts the events in b that have data or an ID, and returns the last ID
-// among them. b must hold complete events.
+// scanEvents counts the events in b that have data or an ID, and returns the ID of the
+// last of them, empty if it has none. b must hold complete events.
 func scanEvents(b []byte) (count int, lastID string) {
-	hasDataOrID := false
+	id, hasDataOrID := "", false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
@@ -319,11 +324,11 @@
 		case len(line) == 0:
 			if hasDataOrID {
 				count++
+				lastID = id
 			}
-			hasDataOrID = false
+			id, hasDataOrID = "", false
 		case bytes.HasPrefix(line, []byte("id:")):
-			lastID = string(bytes.TrimSpace(line[len("id:"):]))
-			hasDataOrID = true
+			id, hasDataOrID = string(bytes.TrimSpace(line[len("id:"):])), true
 		case bytes.HasPrefix(line, []byte("data")):
 			hasDataOrID = true
 		}
