Check the continuation of a stream that its caller resumes

If a caller resumes a stream with the ID of its last event, and the stream breaks off again after a comment, the next server's events were not compared with that ID: an event that the caller has came twice, and a gap passed (ORDER).

--- a/internal/gate/broken_stream_test.go
+++ b/internal/gate/broken_stream_test.go
@@ -196,6 +196,25 @@
 	}
 }
 
+// A caller that resumes a stream itself must get the events after the one that it names, also if
+// the stream breaks off before its first event.
+func TestCallersResumptionContinued(t *testing.T) {
+	breakEarly := func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		writeChunk(conn, ": wait\n\n")
+		return false
+	}
+	for name, body := range map[string]string{"next": formatEvents(13, 14), "overlap": formatEvents(12, 14), "gap": formatEvents(14, 15)} {
+		f := newFixture(t, breakEarly, respondWith(200, streamHead, body, inChunks))
+		got := f.request("POST", "/resume/", "Last-Event", "12")
+		f.c.Check(got.err == nil, qt.Equals, name != "gap", qt.Commentf("%s", name))
+		if name != "gap" {
+			f.c.Check(got.body, qt.Equals, ": wait\n\n"+formatEvents(13, 14), qt.Commentf("%s", name))
+		}
+		f.c.Check(f.servers[1].received()[0].Header.Get("Last-Event"), qt.Equals, "12")
+	}
+}
+
 // An event of a continuation that arrives in small parts must not take time that grows with the
 // square of its size.
 func TestLargeEventOfContinuation(t *testing.T) {
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -167,10 +167,14 @@
 	return p.deadline
 }
 
-// resumePoint returns the ID of the last event that the caller has. It reports false if the caller
-// has none, or if its ID is not a number.
+// resumePoint returns the ID of the last event that the caller has, perhaps from another request.
+// It reports false if the caller has none, or if its ID is not a number.
 func (p *proxyRequest) resumePoint() (id int64, ok bool) {
-	id, err := strconv.ParseInt(p.stream.lastEventID, 10, 64)
+	text := p.stream.lastEventID
+	if p.stream.eventCount == 0 {
+		text = p.requestInfo.LastEventID
+	}
+	id, err := strconv.ParseInt(text, 10, 64)
 	return id, err == nil
 }
 
