Do not complete a stream whose connection ends without an event

What an empty continuation means is decided by its end. If the end is marked by a length or chunks, the server says that nothing follows the events that the caller has: the server before had sent them all, and the stream is complete. An end that is just that of the connection says nothing: the stream is broken, and resumed at another server or aborted. Once there was a new event, an unmarked end after a whole event is the stream's end, as the platform states.

TestEmptyContinuation and TestStreamWithoutEventsOrEnd failed before for closed and reset connections, and pass now.

--- a/internal/gate/broken_stream_test.go
+++ b/internal/gate/broken_stream_test.go
@@ -179,6 +179,32 @@
 	}
 }
 
+// A continuation without events says that the first server had sent them all, but only if its end
+// is marked: a connection that just ends may have broken off.
+func TestEmptyContinuation(t *testing.T) {
+	for _, body := range []string{"", ": wait\n\n", formatEvents(1, 3)} {
+		for _, end := range allFramings {
+			f := newFixture(t, breakAfter(3), respondWith(200, streamHead, body, end))
+			got := f.request("POST", "/resume/")
+			complete := end == withLength || end == inChunks
+			f.c.Check(got.err == nil, qt.Equals, complete, qt.Commentf("%s %q: %v", end, body, got.err))
+			f.c.Check(strings.ReplaceAll(got.body, ": wait\n\n", ""), qt.Equals, formatEvents(1, 3))
+		}
+	}
+}
+
+// A stream whose connection ends before the first event must not be taken for a complete one.
+func TestStreamWithoutEventsOrEnd(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		for _, end := range allFramings {
+			f := newFixture(t, respondWith(200, streamHead, "", end))
+			got := f.request("POST", path)
+			complete := end == withLength || end == inChunks
+			f.c.Check(got.status == 200 && got.err == nil, qt.Equals, complete, qt.Commentf("%s, %s: %d %v", path, end, got.status, got.err))
+		}
+	}
+}
+
 // A stream of events that cannot be told apart must not be resumed: its events would come twice.
 func TestStreamWithoutIDsNotResumed(t *testing.T) {
 	for name, event := range map[string]string{"no IDs": "data: x\n\n", "words": "id: a\ndata: x\n\n", "last without ID": formatEvent(1) + "data: x\n\n"} {
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -41,6 +41,9 @@
 
 var errNotContiguous = errors.New("resumed stream does not continue with the next event")
 
+// errNoEvents means that the connection has ended before the first new event.
+var errNoEvents = errors.New("connection closed before the first event of the stream")
+
 var errEventTooLarge = errors.New("stream event larger than 1 MiB")
 
 // errStreamTooLong means that a server sends more than the request allows, so that the stream
@@ -70,6 +73,9 @@
 			r.buffer = append(r.buffer[:0], r.buffer[completeLen:]...)
 		}
 		switch {
+		case r.err == io.EOF && len(r.buffer) == 0 && p.lacksEvents(r) && !hasMarkedEnd(r.response):
+			r.conn.Discard()
+			return p.streamBroken(errNoEvents)
 		case r.err == io.EOF && len(r.buffer) == 0:
 			r.conn.Release(r.response, r.info.ID != "", r.info.IdleTimeout)
 			return p.streamCompleted(r.response)
@@ -93,6 +99,19 @@
 	}
 }
 
+// lacksEvents reports whether a response has had no new event yet.
+func (p *proxyRequest) lacksEvents(r *pendingResponse) bool {
+	return r.resuming || p.stream.eventCount == 0
+}
+
+// hasMarkedEnd reports whether the end of a response's body is marked, and is not just that of its
+// connection. Only then does a stream without new events count as complete: the server says that
+// none follow those that the caller has. An unmarked end may be that of a server that has failed
+// before its first event.
+func hasMarkedEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // relayEvents forwards complete events of a response and extends its deadline. It reports false,
 // with the outcome of the attempt, if the stream cannot go on.
 func (p *proxyRequest) relayEvents(control *http.ResponseController, r *pendingResponse, events []byte) (outcome, bool) {
