Send a refused request on no connection on which it was refused

A second copy of a refusal is told from the response to the next request by the ID. Under two entries of one address, as after a restart, a request that was refused could be sent on the same kept connection again. A second copy of the first refusal then had its ID: the caller was told that the request did not run while the server ran it (REFUSED), or it was sent to a third server (TWICE).

The attempts of a request remember the connections on which it was refused. If the pool returns one of them, it is closed and another one taken. Connections stay in the pool for other requests.

TestRepeatedRefusalOfSameRequest failed before with "503 overloaded (not-run)" for a request that ran, and passes now. The other new tests passed before: copies of 400, 408, 421, 429 and 503, with and without ID, Retry-After, stamp and not-run header, in parts, several times, and before the rest of a large body.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -58,6 +60,8 @@
 	silent *pendingResponse
 	// overtaken means that a silent server has continued before this one responded.
 	overtaken bool
+	// refusedOn is the connection on which the server refused the request, nil if it did not.
+	refusedOn *upstream.Conn
 }
 
 // attemptRecord is the log entry of one attempt.
@@ -72,6 +76,8 @@
 	// FirstByteMillis is the time to the first byte, 0 if there was none.
 	FirstByteMillis int64  `json:"first_ms"`
 	Err             string `json:"error,omitempty"`
+	// refusedOn is as in outcome.
+	refusedOn *upstream.Conn
 }
 
 // forward sends the request to one server after another until a response is relayed
@@ -184,6 +190,7 @@
 	telemetry.EndSpan(span, string(out.code))
 	now := time.Now()
 	attempt.End(out.result, now)
+	record.refusedOn = out.refusedOn
 	record.Result, record.Millis = resultNames[out.result], now.Sub(started).Milliseconds()
 	record.FirstByteMillis = attempt.TimeToFirstByte().Milliseconds()
 	if out.err != nil {
@@ -219,7 +226,7 @@
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
 	ctx := p.r.Context()
-	conn, err := p.gate.opts.Pool.Get(ctx, s.Address, connectionLimit(p.service))
+	conn, err := p.connect(ctx, s.Address)
 	if err != nil {
 		return p.connectFailure(err)
 	}
@@ -240,6 +247,19 @@
 	return p.readResponse(conn, attempt, p.firstByteDeadline())
 }
 
+// connect returns a connection on which this request was not refused before: a second copy of the
+// refusal would have its ID.
+func (p *proxyRequest) connect(ctx context.Context, address string) (*upstream.Conn, error) {
+	for {
+		conn, err := p.gate.opts.Pool.Get(ctx, address, connectionLimit(p.service))
+		refusedOn := func(r attemptRecord) bool { return r.refusedOn == conn }
+		if err != nil || !slices.ContainsFunc(p.attemptRecords, refusedOn) {
+			return conn, err
+		}
+		conn.Discard()
+	}
+}
+
 // connectFailure returns the outcome of an attempt that got no connection.
 func (p *proxyRequest) connectFailure(err error) outcome {
 	result := fleet.Unreachable
@@ -375,7 +395,7 @@
 		// the next request on the connection.
 		reusable := info.ID != "" && drainBody(response)
 		conn.Release(response, reusable, info.IdleTimeout)
-		return outcome{result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
+		return outcome{refusedOn: conn, result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
 		conn.Discard()
 		return outcome{result: fleet.ConnectionFailed, verdict: verdict.Unknown, code: verdict.CodeServerError, err: errInvalidResponse}
