Leave a request that arrives during a planned stop to the server's limits

Callers saw "400 Bad Request" for a proper request around a planned stop: 4 s after a connection was opened or became idle, a stop set the read deadline to now even if a request had begun to arrive. net/http takes the head that the deadline cuts for a malformed one. On a kept connection that had been idle for 4 s before the stop, any request whose head came in more than one read could be hit. The time ran from the wrong event, and it limited what the server limits already: http.Server's ReadHeaderTimeout runs from the first byte, or from the opening.

A stop now ends only waits in which nothing has arrived. A request that never arrives whole holds the stop up until the server's header timeout, at most until the drain timeout.

--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -16,7 +16,7 @@
 	// checkInterval is the time between two checks for idle connections in a shutdown.
 	checkInterval = 10 * time.Millisecond
 	// firstRequestTime is how long a shutdown waits for the first request on a new
-	// connection, or for the rest of a request that has begun to arrive.
+	// connection.
 	firstRequestTime = 4 * time.Second
 )
 
@@ -98,12 +98,8 @@
 
 // expired reports whether a shutdown ends the wait for a request.
 func (c connState) expired(conn *Conn, now time.Time) bool {
-	switch {
-	case c.state == http.StateActive:
-		return false
-	case c.state == http.StateIdle && !conn.received.Load():
-		return true
-	default:
-		return now.Sub(c.since) > firstRequestTime
+	if conn.received.Load() {
+		return false // the server limits how long a request may arrive
 	}
+	return c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) > firstRequestTime
 }
