End the wait of a connection only if no request has arrived

Around a planned stop callers saw "400 Bad Request" for a proper request, or their connection reset without an answer, when a request arrived just as the stop closed the idle connection. Two gaps: the check for bytes and the read deadline were separate steps, so that the deadline could replace the one that net/http had set for the head of the request that it was reading; and a read whose deadline has passed fails although the request is already in the socket's buffer, so that closing the connection resets it.

The connection now has two read deadlines, the server's and that of the wait for a request, under its own lock. The first bytes end the wait and put the server's deadline back in force.

--- a/internal/graceful/arrival_test.go
+++ b/internal/graceful/arrival_test.go
@@ -5,6 +5,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,8 @@
 	conns    *Conns
 	listener net.Listener
 	wrap     func(net.Conn) net.Conn
+	begun    atomic.Int64 // number of requests whose handler has begun
+	draining atomic.Bool
 }
 
 // Accept implements net.Listener.
@@ -42,6 +46,10 @@
 	f := &drainFixture{c: c, conns: NewConns(), listener: listener, wrap: wrap}
 	server := &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.begun.Add(1)
+			if f.draining.Load() {
+				w.Header().Set("Connection", "close")
+			}
 			if _, err := io.Copy(w, r.Body); err != nil {
 				panic(http.ErrAbortHandler)
 			}
@@ -114,3 +122,137 @@
 		})
 	}
 }
+
+// hookConn runs hooks around the calls of the connection below a Conn.
+type hookConn struct {
+	net.Conn
+	mu            sync.Mutex
+	beforeRead    func()
+	beforeExpiry  func() // before a read deadline in the past is set
+	afterDeadline func() // after one in the future was set
+}
+
+// Read implements net.Conn.
+func (c *hookConn) Read(p []byte) (int, error) {
+	c.run(func() func() { return c.beforeRead })
+	return c.Conn.Read(p)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *hookConn) SetReadDeadline(t time.Time) error {
+	if time.Until(t) <= 0 {
+		if !t.IsZero() {
+			c.run(func() func() { return c.beforeExpiry })
+		}
+		return c.Conn.SetReadDeadline(t)
+	}
+	err := c.Conn.SetReadDeadline(t)
+	c.run(func() func() { return c.afterDeadline })
+	return err
+}
+
+// run runs the hook that get returns while the mutex is held.
+func (c *hookConn) run(get func() func()) {
+	c.mu.Lock()
+	hook := get()
+	c.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+}
+
+// The end of an idle wait must not cut off a request whose first bytes are read at that moment.
+func TestDrainDeadlineAfterFirstBytes(t *testing.T) {
+	hooked := make(chan *hookConn, 1)
+	f := newDrainFixture(t, func(conn net.Conn) net.Conn {
+		h := &hookConn{Conn: conn}
+		hooked <- h
+		return h
+	})
+	conn := f.dial()
+	conn.send(requestStart + requestRest)
+	conn.receive()
+	time.Sleep(50 * time.Millisecond)
+	var once, readOnce sync.Once
+	read := make(chan struct{}) // closed when the server has read the first bytes
+	h := <-hooked
+	h.mu.Lock()
+	h.afterDeadline = func() { readOnce.Do(func() { close(read) }) }
+	h.beforeExpiry = func() {
+		once.Do(func() {
+			conn.send(requestStart)
+			select {
+			case <-read:
+			case <-time.After(100 * time.Millisecond):
+			}
+		})
+	}
+	h.mu.Unlock()
+	go func() { _ = f.conns.Drain(t.Context()) }()
+	time.Sleep(300 * time.Millisecond)
+	conn.send(requestRest)
+	conn.receive()
+}
+
+// The end of an idle wait must not cut off a request that has arrived and is not read yet.
+func TestDrainDeadlineBeforeRead(t *testing.T) {
+	hooked := make(chan *hookConn, 1)
+	f := newDrainFixture(t, func(conn net.Conn) net.Conn {
+		h := &hookConn{Conn: conn}
+		hooked <- h
+		return h
+	})
+	conn := f.dial()
+	h := <-hooked
+	conn.send(requestStart)
+	time.Sleep(50 * time.Millisecond)
+	// The server's next read, after the response, starts late.
+	var reads int
+	h.mu.Lock()
+	h.beforeRead = func() {
+		if reads++; reads == 2 {
+			time.Sleep(300 * time.Millisecond)
+		}
+	}
+	h.mu.Unlock()
+	conn.send(requestRest)
+	conn.receive()
+	conn.send(requestStart + requestRest)
+	go func() { _ = f.conns.Drain(t.Context()) }()
+	conn.receive()
+}
+
+// A request whose handler has begun must be answered, whenever the drain begins.
+func TestDrainAnswersBegunRequests(t *testing.T) {
+	const callers, rounds = 32, 20
+	for round := range rounds {
+		f := newDrainFixture(t, func(conn net.Conn) net.Conn { return conn })
+		var answered atomic.Int64
+		var group sync.WaitGroup
+		for range callers {
+			conn := f.dial()
+			group.Go(func() {
+				for {
+					if _, err := io.WriteString(conn, requestStart+requestRest); err != nil {
+						return
+					}
+					response, err := http.ReadResponse(conn.reader, nil)
+					if err != nil {
+						return
+					}
+					if body, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || string(body) != "ok" {
+						t.Errorf("status %d, body %q, error %v", response.StatusCode, body, err)
+						return
+					}
+					answered.Add(1)
+					time.Sleep(time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(time.Duration(5+round) * time.Millisecond)
+		f.draining.Store(true)
+		f.c.Assert(f.conns.Drain(t.Context()), qt.IsNil)
+		group.Wait()
+		f.c.Check(answered.Load(), qt.Equals, f.begun.Load())
+	}
+}
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -5,10 +5,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -20,50 +18,26 @@
 	firstRequestTime = 4 * time.Second
 )
 
-// Conn is a connection that Conns follows.
-type Conn struct {
-	net.Conn
-	// received is set when bytes have arrived since the connection was opened or became
-	// idle.
-	received atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.received.Load() {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
-// Conns holds the state of each open connection of an HTTP server. It is safe for
-// concurrent use. No other lock is acquired while its mutex is held.
+// Conns holds the open connections of an HTTP server. It is safe for concurrent use. Of the
+// locks only that of a Conn is acquired while its mutex is held.
 type Conns struct {
-	mu     sync.Mutex
-	states map[*Conn]connState
-}
-
-type connState struct {
-	state http.ConnState
-	since time.Time
+	mu   sync.Mutex
+	open map[*Conn]struct{}
 }
 
 // NewConns returns an empty Conns.
-func NewConns() *Conns { return &Conns{states: make(map[*Conn]connState)} }
+func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
 
 // SetState records the state of a connection. The server's ConnState hook calls it.
 func (s *Conns) SetState(conn *Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		conn.received.Store(false)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.states, conn)
-		return
+		delete(s.open, conn)
+	} else {
+		s.open[conn] = struct{}{}
 	}
-	s.states[conn] = connState{state: state, since: time.Now()}
+	conn.setState(state, time.Now())
 }
 
 // Drain waits until all connections are closed or ctx ends, whose error it returns then.
@@ -87,19 +61,8 @@
 func (s *Conns) expireIdle(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn, c := range s.states {
-		if c.expired(conn, now) {
-			// An error means that the connection is already closed.
-			_ = conn.SetReadDeadline(now)
-		}
-	}
-	return len(s.states)
-}
-
-// expired reports whether a shutdown ends the wait for a request.
-func (c connState) expired(conn *Conn, now time.Time) bool {
-	if conn.received.Load() {
-		return false // the server limits how long a request may arrive
+	for conn := range s.open {
+		conn.expire(now)
 	}
-	return c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) > firstRequestTime
+	return len(s.open)
 }
