Apply changed limits to callers' open connections

A configuration that raised a limit did not hold on connections that were already open: the gate closed a connection after the old idle timeout although its caller might keep it for the new one, cut a slow head after the old header timeout, and refused a header that only the new size allows. Each change of the limits started another http.Server, because net/http reads its limits without synchronisation, and the earlier server kept its connections and limits; the list of servers grew by one a change for ever.

The waits are now limited by the connections themselves (graceful.Limits), so that a change applies to all of them; it makes a wait in progress longer, never shorter. The header's size is checked before the gate's handler, and http.Server has a ceiling of at least 64 KiB that only grows. A server is therefore replaced only when a limit exceeds the ceiling, none is listed, and a shutdown closes the connections instead of the servers. A limit over 1 MiB counts as 1 MiB.

--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -20,6 +20,17 @@
 	MaxHeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second,
 }
 
+const (
+	// minHeaderCeiling is the least MaxHeaderBytes of the HTTP server. Lower limits are
+	// enforced by limitHeader, so that a change of them applies to open connections.
+	minHeaderCeiling = 64 << 10
+	// maxHeaderCeiling is the largest limit that is kept.
+	maxHeaderCeiling = 1 << 20
+	// headerTolerance is added to the limit, because sizes are counted in several ways. It is
+	// that of net/http.
+	headerTolerance = 4 << 10
+)
+
 // idleMargin is added to the configured idle timeout, so that a request sent just
 // before the timeout does not find the connection closed.
 const idleMargin = 2 * time.Second
@@ -41,10 +52,11 @@
 	stopAt   atomic.Int64  // when Run ends at the latest, in Unix nanoseconds; 0 unless stopping
 	stopped  chan struct{} // closed when Run has returned
 
-	mu      sync.Mutex
-	limits  catalog.Limits
-	current *connQueue     // the queue of the newest server
-	servers []*http.Server // one per change of the limits, the newest last
+	maxHeaderBytes atomic.Int64
+
+	mu            sync.Mutex
+	current       *connQueue // the queue of the newest server
+	headerCeiling int        // MaxHeaderBytes of the newest server
 }
 
 // NewFrontend returns a frontend that accepts on listener. wrap is applied to each
@@ -55,33 +67,62 @@
 	return f
 }
 
-// SetLimits changes the limits for new connections. An http.Server's limits cannot
-// change while it serves, so each change starts another server; the earlier one
-// keeps its connections.
+// SetLimits changes the limits of new and open connections. A wait in progress can become
+// longer, not shorter. The gate itself enforces MaxBodyBytes.
 func (f *Frontend) SetLimits(l catalog.Limits) {
+	maxHeaderBytes := min(orDefault(l.MaxHeaderBytes, defaultLimits.MaxHeaderBytes), maxHeaderCeiling)
+	f.maxHeaderBytes.Store(int64(maxHeaderBytes))
+	f.conns.SetLimits(graceful.Limits{
+		Header: orDefault(l.HeaderTimeout, defaultLimits.HeaderTimeout),
+		Idle:   orDefault(l.IdleTimeout, defaultLimits.IdleTimeout) + idleMargin,
+	})
+	f.raiseHeaderCeiling(max(maxHeaderBytes, minHeaderCeiling))
+}
+
+// raiseHeaderCeiling starts another HTTP server for new connections if the limit exceeds that
+// of the current one, because an http.Server's limits cannot change while it serves. The
+// earlier server keeps its connections.
+func (f *Frontend) raiseHeaderCeiling(ceiling int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	// The gate itself enforces MaxBodyBytes, so a change of it needs no other server.
-	l.MaxBodyBytes = 0
-	if f.current != nil && l == f.limits {
+	if f.current != nil && ceiling <= f.headerCeiling {
 		return
 	}
-	f.limits = l
 	server := &http.Server{
-		Handler: f.gate, MaxHeaderBytes: orDefault(l.MaxHeaderBytes, defaultLimits.MaxHeaderBytes),
-		ReadHeaderTimeout: orDefault(l.HeaderTimeout, defaultLimits.HeaderTimeout),
-		IdleTimeout:       orDefault(l.IdleTimeout, defaultLimits.IdleTimeout) + idleMargin,
-		ConnState:         f.setState,
-		ErrorLog:          slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
+		Handler: http.HandlerFunc(f.limitHeader), MaxHeaderBytes: ceiling,
+		ConnState: f.setState,
+		ErrorLog:  slog.NewLogLogger(f.log.Handler(), slog.LevelDebug),
 	}
 	if f.current != nil {
 		f.current.close()
 	}
-	f.current = newConnQueue(f.listener.Addr())
-	f.servers = append(f.servers, server)
+	f.current, f.headerCeiling = newConnQueue(f.listener.Addr()), ceiling
 	go f.serve(server, f.current)
 }
 
+// limitHeader refuses a request whose header exceeds the limit, and passes any other on to the
+// gate.
+func (f *Frontend) limitHeader(w http.ResponseWriter, r *http.Request) {
+	if headerBytes(r) > f.maxHeaderBytes.Load()+headerTolerance {
+		w.Header().Set("Connection", "close")
+		http.Error(w, http.StatusText(http.StatusRequestHeaderFieldsTooLarge), http.StatusRequestHeaderFieldsTooLarge)
+		return
+	}
+	f.gate.ServeHTTP(w, r)
+}
+
+// headerBytes returns the size of the request line and the header.
+func headerBytes(r *http.Request) int64 {
+	const lineSeparators = len("  \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + lineSeparators + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
 // setState is the ConnState hook of the servers. All connections come from Run.
 func (f *Frontend) setState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*graceful.Conn); ok {
@@ -129,7 +170,7 @@
 	}
 }
 
-// dispatch hands a connection to the current server. SetLimits may replace the
+// dispatch hands a connection to the current server. raiseHeaderCeiling may replace the
 // server meanwhile; then the next one gets the connection.
 func (f *Frontend) dispatch(conn net.Conn) {
 	for {
@@ -190,18 +231,17 @@
 // Shutdown waits until all requests in progress have ended and closes connections when
 // they are idle. If ctx ends first, it closes the rest and returns the error of ctx.
 func (f *Frontend) Shutdown(ctx context.Context) error {
-	defer f.closeServers()
+	defer f.closeConns()
 	return f.conns.Drain(ctx)
 }
 
-func (f *Frontend) closeServers() {
+func (f *Frontend) closeConns() {
+	if err := f.conns.Close(); err != nil {
+		f.log.Debug("closing the callers' connections failed", "error", err)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, server := range f.servers {
-		if err := server.Close(); err != nil {
-			f.log.Debug("closing the HTTP server for callers failed", "error", err)
-		}
-	}
+	f.current.close()
 }
 
 // connQueue is a net.Listener whose connections come from enqueue.
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -13,20 +13,31 @@
 // fails even if bytes have already arrived.
 const lastReadTime = 2 * time.Millisecond
 
+// Limits bound how long a connection waits for a request. Zero means no limit.
+type Limits struct {
+	// Header limits the time until the first bytes on a new connection, and from the first
+	// bytes of a request to the end of its header.
+	Header time.Duration
+	// Idle limits the time between a response and the first bytes of the next request.
+	Idle time.Duration
+}
+
 // Conn is a connection that Conns follows. It has two read deadlines, of which the earlier
 // applies: that of the server, which SetReadDeadline sets, and that of the wait for a
-// request, which Conns sets. The latter ends when a request has arrived.
+// request, which Conns sets.
 type Conn struct {
 	net.Conn
 
 	mu             sync.Mutex // no other lock is acquired while it is held
+	limits         Limits
 	state          http.ConnState
-	since          time.Time // when the state began
+	since          time.Time // when the state began, or when its first bytes arrived
 	received       bool      // bytes have arrived since the connection was opened or became idle
 	expired        bool      // a shutdown has ended the wait
 	lastRead       bool      // the wait has expired and the last read has begun
 	serverDeadline time.Time
 	waitDeadline   time.Time
+	applied        time.Time // the read deadline of the net.Conn
 }
 
 // Read implements net.Conn.
@@ -51,7 +62,7 @@
 	if c.lastRead {
 		return nil // markReceived applies it if a request arrives after all
 	}
-	return c.applyDeadline()
+	return c.setDeadline(c.deadline())
 }
 
 // SetDeadline implements net.Conn.
@@ -67,13 +78,32 @@
 	return c.waitDeadline
 }
 
-// applyDeadline makes reads keep the deadline. c.mu is held.
-func (c *Conn) applyDeadline() error { return c.Conn.SetReadDeadline(c.deadline()) }
+// setDeadline makes reads keep a deadline. c.mu is held.
+func (c *Conn) setDeadline(t time.Time) error {
+	if t.Equal(c.applied) {
+		return nil
+	}
+	c.applied = t
+	return c.Conn.SetReadDeadline(t)
+}
 
-// updateDeadline applies a change of the wait. c.mu is held.
-func (c *Conn) updateDeadline() {
+// setWaitDeadline changes the deadline of the wait. c.mu is held.
+func (c *Conn) setWaitDeadline(t time.Time) {
+	c.waitDeadline = t
 	// An error means that the connection is already closed.
-	_ = c.applyDeadline()
+	_ = c.setDeadline(c.deadline())
+}
+
+// limitDeadline returns when the wait ends by the limits, zero if it does not. c.mu is held.
+func (c *Conn) limitDeadline() time.Time {
+	limit := c.limits.Header
+	if c.state == http.StateIdle && !c.received {
+		limit = c.limits.Idle
+	}
+	if limit <= 0 || c.state != http.StateNew && c.state != http.StateIdle {
+		return time.Time{}
+	}
+	return c.since.Add(limit)
 }
 
 // waiting reports whether nothing of a request has arrived. c.mu is held.
@@ -81,18 +111,16 @@
 	return !c.received && (c.state == http.StateNew || c.state == http.StateIdle)
 }
 
-// markReceived ends the wait for a request.
+// markReceived ends the wait for the first bytes of a request.
 func (c *Conn) markReceived() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waiting() {
 		return
 	}
-	c.received = true
-	if c.expired || c.lastRead {
-		c.expired, c.lastRead, c.waitDeadline = false, false, time.Time{}
-		c.updateDeadline()
-	}
+	c.received, c.since = true, time.Now()
+	c.expired, c.lastRead = false, false
+	c.setWaitDeadline(c.limitDeadline())
 }
 
 // waitsOn reports whether a read that has timed out must be repeated: the deadline was moved
@@ -108,16 +136,30 @@
 		return true
 	}
 	c.lastRead = true
-	return c.Conn.SetReadDeadline(now.Add(lastReadTime)) == nil
+	return c.setDeadline(now.Add(lastReadTime)) == nil
 }
 
 // setState begins a state of the connection.
-func (c *Conn) setState(state http.ConnState, now time.Time) {
+func (c *Conn) setState(state http.ConnState, limits Limits, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.limits, c.since = state, limits, now
+	c.received, c.expired, c.lastRead = false, false, false
+	c.setWaitDeadline(c.limitDeadline())
+}
+
+// setLimits changes the limits. A wait in progress can become longer, not shorter, because
+// the caller may rely on the limits with which it began.
+func (c *Conn) setLimits(limits Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = state, now
-	c.received, c.expired, c.lastRead, c.waitDeadline = false, false, false, time.Time{}
-	c.updateDeadline()
+	c.limits = limits
+	if c.expired || c.lastRead || c.waitDeadline.IsZero() {
+		return
+	}
+	if deadline := c.limitDeadline(); deadline.IsZero() || deadline.After(c.waitDeadline) {
+		c.setWaitDeadline(deadline)
+	}
 }
 
 // expire ends the wait of an idle connection, and that of a new one after firstRequestTime.
@@ -127,6 +169,6 @@
 	if c.expired || !c.waiting() || c.state == http.StateNew && now.Sub(c.since) <= firstRequestTime {
 		return
 	}
-	c.expired, c.waitDeadline = true, now
-	c.updateDeadline()
+	c.expired = true
+	c.setWaitDeadline(now)
 }
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -21,11 +22,12 @@
 // Conns holds the open connections of an HTTP server. It is safe for concurrent use. Of the
 // locks only that of a Conn is acquired while its mutex is held.
 type Conns struct {
-	mu   sync.Mutex
-	open map[*Conn]struct{}
+	mu     sync.Mutex
+	limits Limits
+	open   map[*Conn]struct{}
 }
 
-// NewConns returns an empty Conns.
+// NewConns returns an empty Conns without limits.
 func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
 
 // SetState records the state of a connection. The server's ConnState hook calls it.
@@ -37,7 +39,30 @@
 	} else {
 		s.open[conn] = struct{}{}
 	}
-	conn.setState(state, time.Now())
+	conn.setState(state, s.limits, time.Now())
+}
+
+// SetLimits changes the limits of new and open connections. Where it raises a limit, waits in
+// progress become longer; where it lowers one, they keep the limit with which they began.
+// The server's own timeouts apply as well.
+func (s *Conns) SetLimits(limits Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	for conn := range s.open {
+		conn.setLimits(limits)
+	}
+}
+
+// Close closes all open connections, also those with a request in progress.
+func (s *Conns) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var errs []error
+	for conn := range s.open {
+		errs = append(errs, conn.Close())
+	}
+	return errors.Join(errs...)
 }
 
 // Drain waits until all connections are closed or ctx ends, whose error it returns then.
