Count a caller's connection from its accept on in a planned stop

A stop counted a connection only when http.Server reported it, which is some time after the server took it from the queue. A stop that looked between the two found no open connection, ended, and closed the last accepted connection without an answer.

The frontend now records a connection before it hands it over.

--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -150,7 +150,7 @@
 	for {
 		conn, err := f.listener.Accept()
 		if err == nil {
-			f.dispatch(&graceful.Conn{Conn: f.wrap(conn)})
+			f.accepted(&graceful.Conn{Conn: f.wrap(conn)})
 			if err = f.extendBacklogTime(); err == nil {
 				continue
 			}
@@ -170,23 +170,32 @@
 	}
 }
 
+// accepted passes on a new connection. A shutdown waits for it from now on: the server
+// reports a connection only some time after it has taken it.
+func (f *Frontend) accepted(conn *graceful.Conn) {
+	f.conns.SetState(conn, http.StateNew)
+	if !f.dispatch(conn) {
+		f.conns.SetState(conn, http.StateClosed)
+		_ = conn.Close()
+	}
+}
+
 // dispatch hands a connection to the current server. raiseHeaderCeiling may replace the
-// server meanwhile; then the next one gets the connection.
-func (f *Frontend) dispatch(conn net.Conn) {
+// server meanwhile; then the next one gets the connection. It returns false if the server was
+// shut down and no other one replaces it.
+func (f *Frontend) dispatch(conn net.Conn) bool {
 	for {
 		f.mu.Lock()
 		current := f.current
 		f.mu.Unlock()
 		if current.enqueue(conn) {
-			return
+			return true
 		}
 		f.mu.Lock()
 		same := f.current == current
 		f.mu.Unlock()
 		if same {
-			// The server was shut down and no other one replaces it.
-			_ = conn.Close()
-			return
+			return false
 		}
 	}
 }
--- a/internal/gate/frontend_test.go
+++ b/internal/gate/frontend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -152,3 +153,22 @@
 	}
 	callers.Wait()
 }
+
+// A shutdown must wait for a connection that the server has taken and not yet reported.
+func TestShutdownWaitsForTakenConnection(t *testing.T) {
+	f := newFixture(t, respondOK)
+	slow := newConnQueue(f.frontend.listener.Addr())
+	f.frontend.mu.Lock()
+	f.frontend.current.close()
+	f.frontend.current = slow
+	f.frontend.mu.Unlock()
+	caller := f.dialRaw()
+	_, err := slow.Accept()
+	f.c.Assert(err, qt.IsNil)
+	f.c.Assert(f.frontend.StopAccepting(), qt.IsNil)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	f.c.Assert(f.frontend.Shutdown(ctx), qt.ErrorIs, context.DeadlineExceeded)
+	_, err = caller.reader.ReadByte()
+	f.c.Assert(err, qt.Equals, io.EOF)
+}
