Send no new requests to a server that says it is leaving

Callers' requests reached servers that had said in a response that they were leaving, until the store's entry said so too, or for as long as the gate could not reach the store. Cause: no code read the header.

Server-Leaving is decoded in platform into ResponseInfo.Leaving. When the head of a response to the request has been read, whatever its status, the gate marks the server's Member as leaving. The new package membership keeps a Member for each lifetime (ID and start time), so that the mark outlasts entries that change, expire and return, and ends with a restart. Requests for which a connection was being opened are dropped before they are sent and go elsewhere; requests in progress are not touched; a connection on which the server said so is not used again.

--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -4,7 +4,11 @@
 // attempts. The package knows neither HTTP nor how entries are encoded.
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/membership"
+)
 
 // Entry is the registration of a backend server.
 type Entry struct {
@@ -27,3 +31,8 @@
 	// Revision is the store revision of the entry.
 	Revision int64
 }
+
+// instance identifies the server's lifetime. Its address is not part of it.
+func (e *Entry) instance() membership.Instance {
+	return membership.Instance{ID: e.ID, StartedUnixMilli: e.StartedUnixMilli}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 )
 
 // Result classifies the end of an attempt for the server's health.
@@ -73,6 +75,7 @@
 	inProgress        atomic.Int32
 	awaitingFirstByte atomic.Int32
 	stats             *serviceStats
+	member            *membership.Member
 
 	mu                      sync.Mutex
 	consecutiveConnFailures int // attempts with ConnectionFailed or TimedOut since the last response or Shed
@@ -86,10 +89,14 @@
 	degradedSince           time.Time
 }
 
-func newServer(e Entry, stats *serviceStats) *Server {
-	return &Server{Entry: e, Key: xxhash.Sum64String(e.ID), stats: stats}
+func newServer(e Entry, stats *serviceStats, member *membership.Member) *Server {
+	return &Server{Entry: e, Key: xxhash.Sum64String(e.ID), stats: stats, member: member}
 }
 
+// Member returns what the server has said of its membership in this lifetime. It is the
+// same for all Servers of one lifetime.
+func (s *Server) Member() *membership.Member { return s.member }
+
 // InProgress returns the number of this gate's requests in progress at the server.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
@@ -103,9 +110,12 @@
 
 func (s *Server) setRank(rank float64) { s.rank.Store(math.Float64bits(rank)) }
 
-// Usable reports whether the server may get a request now. After a failure and its
-// backoff it gets one request at a time until it responds to one.
+// Usable reports whether the server may get a request now: it is neither leaving nor in backoff.
+// After a failure and its backoff it gets one request at a time until it responds to one.
 func (s *Server) Usable(now time.Time) bool {
+	if !s.member.Accepts() {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.misdirected || now.Before(s.backoffUntil) {
@@ -170,6 +180,13 @@
 	return &Attempt{server: s, class: class, started: now}
 }
 
+// MaySend reports whether the request may be sent now. It is false if the server has said
+// since Begin that it is leaving.
+func (a *Attempt) MaySend() bool { return a.server.member.Accepts() }
+
+// Server returns the server of the attempt.
+func (a *Attempt) Server() *Server { return a.server }
+
 // FirstByte records the first byte of the response. Further calls, and those after End, do nothing.
 func (a *Attempt) FirstByte(now time.Time) {
 	if a.gotFirstByte || a.ended {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 )
 
 // serviceSampleWeight is the weight of a new sample in the moving averages of a
@@ -53,6 +55,7 @@
 // methods are safe for concurrent use. Lock order: a Server's mutex before that of
 // its serviceStats.
 type Table struct {
+	members   *membership.Set                      // outlasts entries that change or expire
 	stats     map[string]*serviceStats             // by service
 	servers   map[string]*Server                   // by ID, including draining servers
 	byService atomic.Pointer[map[string][]*Server] // without draining servers
@@ -60,7 +63,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{stats: make(map[string]*serviceStats), servers: make(map[string]*Server)}
+	t := &Table{members: membership.NewSet(), stats: make(map[string]*serviceStats), servers: make(map[string]*Server)}
 	t.byService.Store(&map[string][]*Server{})
 	return t
 }
@@ -100,12 +103,15 @@
 }
 
 // Apply replaces the entries and returns the differences. A server that was restarted
-// or whose draining state has changed starts with no health history.
+// or whose draining state has changed starts with no health history. What a server has said
+// of its membership holds until its start time changes.
 func (t *Table) Apply(entries []Entry) []Change {
 	var changes []Change
 	servers := make(map[string]*Server, len(entries))
 	byService := make(map[string][]*Server)
+	listed := make(map[membership.Instance]bool, len(entries))
 	for _, e := range entries {
+		listed[e.instance()] = true
 		s, kind := t.resolve(e)
 		if kind != "" {
 			changes = append(changes, Change{e, kind})
@@ -121,6 +127,7 @@
 		}
 	}
 	t.servers = servers
+	t.members.EndListing(listed, time.Now())
 	for _, list := range byService {
 		assignRanks(list)
 	}
@@ -151,19 +158,20 @@
 		stats = &serviceStats{}
 		t.stats[e.Service] = stats
 	}
+	member := t.members.Member(e.instance())
 	old := t.servers[e.ID]
 	switch {
 	case old == nil:
-		return newServer(e, stats), "added"
+		return newServer(e, stats, member), "added"
 	case old.Revision == e.Revision:
 		return old, ""
 	case old.StartedUnixMilli != e.StartedUnixMilli || old.Address != e.Address || old.Service != e.Service:
-		return newServer(e, stats), "restarted"
+		return newServer(e, stats, member), "restarted"
 	case old.Draining == e.Draining:
 		return old, ""
 	case e.Draining:
-		return newServer(e, stats), "draining"
+		return newServer(e, stats, member), "draining"
 	default:
-		return newServer(e, stats), "changed"
+		return newServer(e, stats, member), "changed"
 	}
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -218,7 +218,7 @@
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
 	ctx := p.r.Context()
-	conn, err := p.gate.opts.Pool.Get(ctx, s.Address, connectionLimit(p.service))
+	conn, err := p.connect(attempt)
 	if err != nil {
 		return p.connectFailure(err)
 	}
@@ -243,7 +243,7 @@
 func (p *proxyRequest) connectFailure(err error) outcome {
 	result := fleet.Unreachable
 	switch {
-	case p.r.Context().Err() != nil:
+	case p.r.Context().Err() != nil, errors.Is(err, errNotAdmitted):
 		result = fleet.Canceled
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		result = fleet.Shed
@@ -296,6 +296,7 @@
 			continue
 		}
 		attempt.FirstByte(time.Now())
+		p.gate.updateMembership(attempt.Server(), response.StatusCode, info)
 		return p.handleResponse(conn, response, info, attempt)
 	}
 	conn.Discard()
@@ -370,9 +371,7 @@
 		conn.Discard()
 		return outcome{result: fleet.Misdirected, verdict: verdict.NotRun, code: verdict.CodeNoServer}
 	case info.NotRun && status != http.StatusBadRequest:
-		// Without an ID, a second copy of the refusal could not be told from the response to
-		// the next request on the connection.
-		reusable := info.ID != "" && drainBody(response)
+		reusable := info.reusable() && drainBody(response)
 		conn.Release(response, reusable, info.IdleTimeout)
 		return outcome{result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
@@ -405,7 +404,7 @@
 		return p.connectionLost(err)
 	}
 	body, err := readBounded(response.Body, response.ContentLength, maxResponseBytes, &p.memory)
-	conn.Release(response, err == nil && info.ID != "", info.IdleTimeout)
+	conn.Release(response, err == nil && info.reusable(), info.IdleTimeout)
 	if err != nil {
 		return p.connectionLost(err)
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -30,6 +30,7 @@
 	events              metrics.Counter
 	firstByte           metrics.Timer
 	duration            metrics.Timer
+	membership          membershipStats
 }
 
 func newStats(r metrics.Registry) stats {
@@ -46,7 +47,7 @@
 		registry: r, requests: counter("requests"), attempts: counter("attempts"), retries: counter("retries"),
 		retriesDenied: counter("retries_denied"), mismatchedResponses: counter("foreign_answers"), streamsResumed: counter("streams_resumed"),
 		streamsBroken: counter("streams_broken"), silentContinued: counter("silent_continued"), callersDisconnected: counter("callers_left"), events: counter("events"),
-		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"),
+		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"), membership: newMembershipStats(r),
 	}
 }
 
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -63,8 +63,14 @@
 	// IdleTimeout is how long the server keeps an idle connection open, 0 if it does
 	// not say.
 	IdleTimeout time.Duration
+	// Leaving means that the server is leaving and wants no new requests.
+	Leaving bool
 }
 
+// reusable reports whether the connection of a completely read response may be used again.
+// Without an ID, a second copy of the response could not be told from the next one.
+func (i ResponseInfo) reusable() bool { return i.ID != "" && !i.Leaving }
+
 // Protocol converts between HTTP headers and the types of this package.
 type Protocol interface {
 	// ParseRequest decodes the headers of a caller's request. Its error is logged as
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -68,7 +68,7 @@
 		}
 		switch {
 		case r.err == io.EOF && len(r.buffer) == 0:
-			r.conn.Release(r.response, r.info.ID != "", r.info.IdleTimeout)
+			r.conn.Release(r.response, r.info.reusable(), r.info.IdleTimeout)
 			return p.streamCompleted(r.response)
 		case r.err == io.EOF:
 			r.conn.Discard()
