Send no requests to a server during the rest that it asks for

A server that refused a request with 503 and Retry-After went on to get requests of the same gate: it was only chosen last for 100 ms. Cause: no code read a server's Retry-After.

When the head of the refusal has been read, the server's Member rests until the named time (at most 10 minutes); a second refusal extends the rest and never shortens it. An attempt checks this again when its connection is open. After the rest the number of requests doubles each 100 ms for 0.8 s. If no server can get a request and one rests, the request is refused at once, as not run, with the time until the first one is available; the callers' return is spread as the limit rises.

--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -110,10 +110,11 @@
 
 func (s *Server) setRank(rank float64) { s.rank.Store(math.Float64bits(rank)) }
 
-// Usable reports whether the server may get a request now: it is neither leaving nor in backoff.
-// After a failure and its backoff it gets one request at a time until it responds to one.
+// Usable reports whether the server may get a request now: its membership admits one, and
+// it is not in backoff. After a failure and its backoff it gets one request at a time until
+// it responds to one.
 func (s *Server) Usable(now time.Time) bool {
-	if !s.member.Accepts() {
+	if !s.member.Available(now) {
 		return false
 	}
 	s.mu.Lock()
@@ -124,6 +125,18 @@
 	return s.consecutiveFailures == 0 || !s.probing
 }
 
+// usableAt returns the earliest time from now on at which the server may get a request, as
+// far as is known. It returns false if it will get none in this lifetime.
+func (s *Server) usableAt(now time.Time) (time.Time, bool) {
+	at, ok := s.member.AvailableAt(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backoffUntil.After(at) {
+		at = s.backoffUntil
+	}
+	return at, ok && !s.misdirected
+}
+
 // Degraded reports whether the server should be chosen only if no other can be: it
 // has just shed a request, is slow or returns more errors than others of its service.
 // It resets the averages of a server that was slow or returned errors for
@@ -154,6 +167,7 @@
 	server          *Server
 	class           PromptClass
 	started         time.Time
+	admitted        bool // by the server's membership
 	gotFirstByte    bool
 	ended           bool
 	timeToFirstByte time.Duration
@@ -177,12 +191,12 @@
 	s.mu.Lock()
 	s.probing = s.consecutiveFailures > 0
 	s.mu.Unlock()
-	return &Attempt{server: s, class: class, started: now}
+	return &Attempt{server: s, class: class, started: now, admitted: s.member.Admit(now)}
 }
 
-// MaySend reports whether the request may be sent now. It is false if the server has said
-// since Begin that it is leaving.
-func (a *Attempt) MaySend() bool { return a.server.member.Accepts() }
+// MaySend reports whether the request may be sent now. It is false if concurrent requests
+// were admitted instead, or if the server has said since Begin that it wants no requests.
+func (a *Attempt) MaySend(now time.Time) bool { return a.admitted && a.server.member.Accepts(now) }
 
 // Server returns the server of the attempt.
 func (a *Attempt) Server() *Server { return a.server }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -72,6 +72,22 @@
 // be changed.
 func (t *Table) Servers(service string) []*Server { return (*t.byService.Load())[service] }
 
+// RestEnd returns the earliest time from now on at which a server of the service may get a
+// request, as far as is known, and whether any of the servers rests.
+func (t *Table) RestEnd(service string, now time.Time) (earliest time.Time, resting bool) {
+	for _, s := range t.Servers(service) {
+		at, ok := s.usableAt(now)
+		if !ok {
+			continue
+		}
+		resting = resting || !s.member.Accepts(now)
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest, resting
+}
+
 // MeanTimeToFirstByte returns the moving average of the time to first byte at the
 // servers of a service, 0 if unknown.
 func (t *Table) MeanTimeToFirstByte(service string, class PromptClass) time.Duration {
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -154,9 +154,9 @@
 	case p.mayHaveRun:
 		p.refuse(unknownOutcomeError(last))
 	case last == nil:
-		p.refuse(verdict.New(verdict.NotRun, verdict.CodeNoServer, "no server is available").WithRetryAfter(retryAfterUnavailable))
+		p.refuse(verdict.New(verdict.NotRun, verdict.CodeNoServer, "no server is available").WithRetryAfter(p.retryAfter()))
 	default:
-		p.refuse(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no server accepted the request").WithRetryAfter(retryAfterUnavailable))
+		p.refuse(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no server accepted the request").WithRetryAfter(p.retryAfter()))
 	}
 	return true
 }
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 )
 
@@ -14,11 +17,15 @@
 var errNotAdmitted = errors.New("the server wants no further requests")
 
 // connect gets a connection to the server of an attempt. It fails with errNotAdmitted if
-// the server has said since the attempt began that it is leaving. If it fails, nothing was
-// sent.
+// the server does not admit the request, also if it has said so since the attempt began. If
+// it fails, nothing was sent.
 func (p *proxyRequest) connect(attempt *fleet.Attempt) (*upstream.Conn, error) {
+	if !attempt.MaySend(time.Now()) {
+		p.gate.stats.membership.attemptsDropped.Inc(1)
+		return nil, errNotAdmitted
+	}
 	conn, err := p.gate.opts.Pool.Get(p.r.Context(), attempt.Server().Address, connectionLimit(p.service))
-	if err == nil && !attempt.MaySend() {
+	if err == nil && !attempt.MaySend(time.Now()) {
 		conn.Discard()
 		p.gate.stats.membership.attemptsDropped.Inc(1)
 		return nil, errNotAdmitted
@@ -29,13 +36,17 @@
 // membershipStats counts what servers say of their membership. It is safe for concurrent use.
 type membershipStats struct {
 	leaving         metrics.Counter
+	rests           metrics.Counter
+	restsExtended   metrics.Counter
+	invalidRests    metrics.Counter // refusals with an invalid Retry-After
 	attemptsDropped metrics.Counter // attempts that ended with errNotAdmitted
 }
 
 func newMembershipStats(r metrics.Registry) membershipStats {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("monsoon.gate."+name, r) }
 	return membershipStats{
-		leaving: counter("servers_leaving"), attemptsDropped: counter("attempts_not_admitted"),
+		leaving: counter("servers_leaving"), rests: counter("server_rests"), restsExtended: counter("server_rests_extended"),
+		invalidRests: counter("server_rests_invalid"), attemptsDropped: counter("attempts_not_admitted"),
 	}
 }
 
@@ -50,4 +61,42 @@
 		g.stats.membership.leaving.Inc(1)
 		g.opts.Log.Info("server is leaving", "server", s.ID, "service", s.Service, "address", s.Address, "cause", "response")
 	}
+	if status == http.StatusServiceUnavailable && info.NotRun {
+		g.updateRest(s, info, time.Now())
+	}
+}
+
+// updateRest records the rest that a server asks for in a refusal. An invalid request for a
+// rest has no effect.
+func (g *Gate) updateRest(s *fleet.Server, info ResponseInfo, now time.Time) {
+	if info.RetryAfterErr != nil {
+		g.stats.membership.invalidRests.Inc(1)
+		if s.Member().ReportInvalid(now) {
+			g.opts.Log.Warn("invalid request for a rest ignored", "server", s.ID, "service", s.Service, "error", info.RetryAfterErr)
+		}
+		return
+	}
+	change, until := s.Member().Rest(info.RetryAfter, now)
+	switch change {
+	case membership.RestUnchanged:
+		return
+	case membership.RestStarted:
+		g.stats.membership.rests.Inc(1)
+	case membership.RestExtended:
+		g.stats.membership.restsExtended.Inc(1)
+	}
+	g.opts.Log.Info("server rest "+string(change), "server", s.ID, "service", s.Service, "address", s.Address,
+		"cause", "refusal", "until", until, "asked_ms", info.RetryAfter.Milliseconds())
+}
+
+// retryAfter returns when to come back with a request that no server accepted: as soon as a
+// server can get it, if all of them rest or are in backoff. Callers are spread over the ramp
+// after the rest, so that they do not return in one instant.
+func (p *proxyRequest) retryAfter() time.Duration {
+	now := time.Now()
+	end, resting := p.gate.opts.Servers.RestEnd(p.service.Name, now)
+	if !resting || !end.After(now) {
+		return retryAfterUnavailable
+	}
+	return max(end.Sub(now), retryAfterUnavailable) + membership.RampDelay(rand.Float64())
 }
--- a/internal/gate/protocol.go
+++ b/internal/gate/protocol.go
@@ -65,6 +65,10 @@
 	IdleTimeout time.Duration
 	// Leaving means that the server is leaving and wants no new requests.
 	Leaving bool
+	// RetryAfter is how long the server wants no requests, 0 if it does not say. RetryAfterErr
+	// is why what it says could not be decoded.
+	RetryAfter    time.Duration
+	RetryAfterErr error
 }
 
 // reusable reports whether the connection of a completely read response may be used again.
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,20 +1,153 @@
 // Package membership decides whether a backend server may get new requests, by what the
-// server itself has said: that it is leaving. The gate's fleet table uses it.
-// It is pure decision logic: it knows neither the network nor how servers say it, and its
-// callers pass the time.
+// server itself has said: that it is leaving, or that it wants a rest. The gate's fleet
+// table uses it. It is pure decision logic: it knows neither the network
+// nor how servers say it, and its callers pass the time.
 package membership
 
-import "sync/atomic"
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// MaxRest limits a rest, so that a faulty value does not take a server out for good.
+	MaxRest = 10 * time.Minute
+	// For rampSteps times rampStep after a rest, the number of requests that a server gets
+	// since the rest is limited: one at first, twice as many with each step.
+	rampStep  = 100 * time.Millisecond
+	rampSteps = 8
+	// minReportedExtension is how much later a rest must end than last reported to be
+	// reported again: the refusals of requests sent together extend a rest a little each.
+	minReportedExtension = 500 * time.Millisecond
+	// invalidReportInterval is the least time between two reports of invalid values.
+	invalidReportInterval = time.Minute
+)
 
 // Member is what one lifetime of a server has said of its membership. The zero value is a
-// server that has said nothing. It is safe for concurrent use.
+// server that has said nothing. It is safe for concurrent use. No other lock is acquired
+// while its mutex is held.
 type Member struct {
-	leaving atomic.Bool
+	mu        sync.Mutex
+	leaving   bool
+	restUntil time.Time // zero before the first rest
+	admitted  int       // requests admitted since the last rest
+	// reportedUntil is the end of the rest that Rest last reported.
+	reportedUntil     time.Time
+	invalidReportedAt time.Time
 }
 
 // Leave records that the server is leaving, which holds for the rest of its lifetime. It
 // reports whether that is new.
-func (m *Member) Leave() bool { return !m.leaving.Swap(true) }
+func (m *Member) Leave() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := !m.leaving
+	m.leaving = true
+	return changed
+}
+
+// RestChange is the effect of a request for a rest.
+type RestChange string
+
+// Effects of a request for a rest. RestUnchanged also covers an extension that is too
+// short to be reported.
+const (
+	RestUnchanged RestChange = "unchanged"
+	RestStarted   RestChange = "started"
+	RestExtended  RestChange = "extended"
+)
+
+// Rest records that the server wants no requests for d, at most MaxRest. It never shortens
+// a rest. It returns the effect and the end of the rest.
+func (m *Member) Rest(d time.Duration, now time.Time) (RestChange, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	until := now.Add(min(d, MaxRest))
+	if d <= 0 || !until.After(m.restUntil) {
+		return RestUnchanged, m.restUntil
+	}
+	change := RestUnchanged
+	switch {
+	case !now.Before(m.restUntil):
+		change = RestStarted
+	case until.Sub(m.reportedUntil) >= minReportedExtension:
+		change = RestExtended
+	}
+	if change != RestUnchanged {
+		m.reportedUntil = until
+	}
+	m.restUntil, m.admitted = until, 0
+	return change, until
+}
+
+// Accepts reports whether the server accepts requests: it is neither leaving nor resting.
+// It does not consider the ramp.
+func (m *Member) Accepts(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.accepts(now)
+}
+
+func (m *Member) accepts(now time.Time) bool { return !m.leaving && !now.Before(m.restUntil) }
+
+// Available reports whether Admit would admit a request now.
+func (m *Member) Available(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.accepts(now) && m.admitted < m.rampLimit(now)
+}
+
+// Admit reports whether a request may be sent to the server now, and counts it if so.
+func (m *Member) Admit(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.accepts(now) || m.admitted >= m.rampLimit(now) {
+		return false
+	}
+	m.admitted++
+	return true
+}
+
+// rampLimit returns how many requests may have been admitted since the rest.
+func (m *Member) rampLimit(now time.Time) int {
+	step := now.Sub(m.restUntil) / rampStep
+	if step >= rampSteps {
+		return math.MaxInt
+	}
+	return 1 << step
+}
 
-// Accepts reports whether the server accepts requests: it is not leaving.
-func (m *Member) Accepts() bool { return !m.leaving.Load() }
+// RampDelay returns when in the ramp after a rest a caller should come back, from the rest's
+// end. Callers with u evenly distributed from 0 to 1 come back as the ramp admits them.
+func RampDelay(u float64) time.Duration {
+	return time.Duration((1 + math.Log2(1+u*(1<<rampSteps-1))) * float64(rampStep))
+}
+
+// AvailableAt returns the earliest time from now on at which a request would be admitted,
+// as far as is known. It returns false if the server is leaving.
+func (m *Member) AvailableAt(now time.Time) (time.Time, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.leaving:
+		return time.Time{}, false
+	case now.Before(m.restUntil):
+		return m.restUntil, true
+	case m.admitted >= m.rampLimit(now):
+		return m.restUntil.Add((now.Sub(m.restUntil)/rampStep + 1) * rampStep), true
+	}
+	return now, true
+}
+
+// ReportInvalid reports whether an invalid value of the server is to be logged now. It
+// limits the reports about one server.
+func (m *Member) ReportInvalid(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.invalidReportedAt.IsZero() && now.Sub(m.invalidReportedAt) < invalidReportInterval {
+		return false
+	}
+	m.invalidReportedAt = now
+	return true
+}
