Let a drain that an agent reports bind its lifetime at the router

A router sent requests to a draining server again 30 s after it last heard of the drain, if the host list did not say so, and a late refusal of a server that had restarted since took the new lifetime out for 30 s. Cause: the drain was kept as a time, without the lifetime that it belongs to.

The router now uses membership.Member, as the gate does, one for each boot ID: an agent never ends a drain, so the mark needs no end. What an attempt of an earlier boot reports of load and drain is ignored.

TestDrainBindsLifetime fails without the change: after a minute of silence the server was chosen. It passes now; so do the other tests of internal/route and internal/dispatch.

--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,6 +1,6 @@
 // Package membership decides whether a backend server may get new requests, by what the
 // server itself has said: that it is leaving, or that it wants a rest. The gate's fleet
-// table uses it. It is pure decision logic: it knows neither the network
+// table and the router use it. It is pure decision logic: it knows neither the network
 // nor how servers say it, and its callers pass the time.
 package membership
 
--- a/internal/route/probe.go
+++ b/internal/route/probe.go
@@ -116,7 +116,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.markAlive(now, session.Peer.Boot)
-	s.setLoad(now, reply.Load)
+	s.setLoad(reply.Load)
 	e := Estimate{Known: true, CachedTokens: reply.CachedTokens}
 	if !reply.Serves || reply.Load.Draining {
 		e.FirstToken = unusableEstimate
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -80,6 +80,25 @@
 	qt.Assert(t, s.weight(readmitted.Add(time.Minute)), qt.Equals, slowStartMinWeight, qt.Commentf("restarted"))
 }
 
+// A server that reported its drain must get no requests for the rest of its lifetime, however
+// long nothing is heard of it, and a late refusal of that lifetime must not bind the next.
+func TestDrainBindsLifetime(t *testing.T) {
+	testWithFleet(t, 1, 0, func(t *testing.T, f *testFleet) {
+		late, err := f.router.Choose(t.Context(), modelQuery)
+		qt.Assert(t, err, qt.IsNil)
+		s := f.router.servers["s0"]
+		s.recordResult(time.Now(), Result{Kind: ResultRefused, Code: verdict.CodeDraining})
+		time.Sleep(time.Minute)
+		_, err = f.router.Choose(t.Context(), modelQuery)
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.CodeNoServer)
+		s.mu.Lock()
+		s.markAlive(time.Now(), [16]byte{1})
+		s.mu.Unlock()
+		late.Done(Result{Kind: ResultRefused, Code: verdict.CodeDraining})
+		qt.Assert(t, s.leaving(time.Now()), qt.IsFalse)
+	})
+}
+
 // Guards against new requests at a leaving server, whether the host list, a probe or
 // a refusal reports it first.
 func TestLeavingServerGetsNoWork(t *testing.T) {
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -166,7 +166,7 @@
 	var once sync.Once
 	return Choice{Server: host, Session: session, Reason: reason, Done: func(res Result) {
 		once.Do(func() {
-			s.recordResult(time.Now(), res)
+			s.recordAttempt(time.Now(), session.Peer.Boot, res)
 			if host.Region != r.Region {
 				r.chargeLink(res.Bytes)
 			}
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
@@ -25,9 +26,6 @@
 	// maxEjectedDivisor limits ejections: at most 1/maxEjectedDivisor of the servers
 	// of a pool are ejected at the same time.
 	maxEjectedDivisor = 3
-	// drainingTTL is how long a server that reported that it is draining gets no
-	// requests if the host list does not mark it as leaving.
-	drainingTTL = 30 * time.Second
 	// slowStartMinWeight is the initial weight of a server in slow start, as a
 	// fraction of its full weight.
 	slowStartMinWeight = 0.1
@@ -83,9 +81,9 @@
 	ejections     int
 	ejected       bool
 	ejectedUntil  time.Time
-	drainingUntil time.Time
-	slowStartFrom time.Time // zero for a server with its full weight
-	boot          [16]byte  // boot ID of the agent
+	member        *membership.Member // of the lifetime with the ID boot; nil if it has said nothing
+	slowStartFrom time.Time          // zero for a server with its full weight
+	boot          [16]byte           // boot ID of the agent
 	load          wire.Load
 	sentSinceLoad int                     // requests sent since load was reported
 	sentAt        [maxSendTimes]time.Time // ring buffer of the last send times
@@ -97,7 +95,7 @@
 func (s *server) usable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.host.Leaving || now.Before(s.drainingUntil) || s.isEjected(now) {
+	if s.isLeaving(now) || s.isEjected(now) {
 		return false
 	}
 	weight := s.weight(now)
@@ -109,7 +107,19 @@
 func (s *server) leaving(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.host.Leaving || now.Before(s.drainingUntil)
+	return s.isLeaving(now)
+}
+
+func (s *server) isLeaving(now time.Time) bool {
+	return s.host.Leaving || s.member != nil && !s.member.Accepts(now)
+}
+
+// lifetime returns what the server has said of its membership in its present lifetime.
+func (s *server) lifetime() *membership.Member {
+	if s.member == nil {
+		s.member = &membership.Member{}
+	}
+	return s.member
 }
 
 // isEjected reports whether the server is ejected, after ending an ejection whose
@@ -173,16 +183,15 @@
 func (s *server) markAlive(now time.Time, boot [16]byte) {
 	s.probeFailures = 0
 	if s.boot != boot && s.boot != [16]byte{} {
-		s.slowStartFrom = now
-		s.drainingUntil = time.Time{}
+		s.slowStartFrom, s.member = now, nil
 	}
 	s.boot = boot
 }
 
-func (s *server) setLoad(now time.Time, load wire.Load) {
+func (s *server) setLoad(load wire.Load) {
 	s.load, s.sentSinceLoad = load, 0
 	if load.Draining {
-		s.drainingUntil = now.Add(drainingTTL)
+		s.lifetime().Leave()
 	}
 }
 
@@ -214,12 +223,30 @@
 	return n
 }
 
+// recordAttempt applies the outcome of an attempt made in the lifetime with the given boot
+// ID. What an earlier lifetime reported of its load and its drain no longer holds.
+func (s *server) recordAttempt(now time.Time, boot [16]byte, res Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boot != boot {
+		res.Load = nil
+		if res.Kind == ResultRefused && res.Code == verdict.CodeDraining {
+			return
+		}
+	}
+	s.applyResult(now, res)
+}
+
 // recordResult applies the outcome of an attempt to the server's health and load.
 func (s *server) recordResult(now time.Time, res Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyResult(now, res)
+}
+
+func (s *server) applyResult(now time.Time, res Result) {
 	if res.Load != nil {
-		s.setLoad(now, *res.Load)
+		s.setLoad(*res.Load)
 	}
 	switch res.Kind {
 	case ResultOK:
@@ -237,7 +264,7 @@
 func (s *server) recordRefusal(now time.Time, res Result) {
 	switch res.Code {
 	case verdict.CodeDraining:
-		s.drainingUntil = now.Add(drainingTTL)
+		s.lifetime().Leave()
 	case verdict.CodeOverloaded, verdict.CodeRateLimited, verdict.CodeDeadlineExceeded, verdict.CodeCanceled,
 		verdict.CodeFenced:
 		s.failures = 0
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -93,7 +93,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.host.Leaving && !host.Leaving {
-		s.slowStartFrom, s.drainingUntil = time.Now(), time.Time{}
+		s.slowStartFrom, s.member = time.Now(), nil
 	}
 	if s.pool != p {
 		s.endEjection()
@@ -144,7 +144,7 @@
 func (s *server) healthy(now time.Time) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.host.Name, !s.host.Leaving && !now.Before(s.drainingUntil) && !s.isEjected(now)
+	return s.host.Name, !s.isLeaving(now) && !s.isEjected(now)
 }
 
 // candidateSet implements Candidates for one request.
