--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -1,10 +1,13 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
+	"mime"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -57,6 +60,8 @@
 	silent *pendingResponse
 	// overtaken means that a silent server has continued before this one responded.
 	overtaken bool
+	// refusedOn is the connection on which the server refused the request, nil if it did not.
+	refusedOn *upstream.Conn
 }
 
 // attemptRecord is the log entry of one attempt.
@@ -71,6 +76,8 @@
 	// FirstByteMillis is the time to the first byte, 0 if there was none.
 	FirstByteMillis int64  `json:"first_ms"`
 	Err             string `json:"error,omitempty"`
+	// refusedOn is as in outcome.
+	refusedOn *upstream.Conn
 }
 
 // forward sends the request to one server after another until a response is relayed
@@ -133,7 +140,7 @@
 	if p.attemptsSent >= p.route.MaxAttempts || p.r.Context().Err() != nil {
 		return false
 	}
-	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent()
+	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent() && p.canResume()
 }
 
 // finish ends a request that no server completed successfully. It reports whether
@@ -183,6 +190,7 @@
 	telemetry.EndSpan(span, string(out.code))
 	now := time.Now()
 	attempt.End(out.result, now)
+	record.refusedOn = out.refusedOn
 	record.Result, record.Millis = resultNames[out.result], now.Sub(started).Milliseconds()
 	record.FirstByteMillis = attempt.TimeToFirstByte().Milliseconds()
 	if out.err != nil {
@@ -218,7 +226,7 @@
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
 	ctx := p.r.Context()
-	conn, err := p.connect(attempt)
+	conn, err := p.connectAdmitted(ctx, attempt)
 	if err != nil {
 		return p.connectFailure(err)
 	}
@@ -239,6 +247,19 @@
 	return p.readResponse(conn, attempt, p.firstByteDeadline())
 }
 
+// connect returns a connection on which this request was not refused before: a second copy of the
+// refusal would have its ID.
+func (p *proxyRequest) connect(ctx context.Context, address string) (*upstream.Conn, error) {
+	for {
+		conn, err := p.gate.opts.Pool.Get(ctx, address, connectionLimit(p.service))
+		refusedOn := func(r attemptRecord) bool { return r.refusedOn == conn }
+		if err != nil || !slices.ContainsFunc(p.attemptRecords, refusedOn) {
+			return conn, err
+		}
+		conn.Discard()
+	}
+}
+
 // connectFailure returns the outcome of an attempt that got no connection.
 func (p *proxyRequest) connectFailure(err error) outcome {
 	result := fleet.Unreachable
@@ -373,16 +394,29 @@
 	case info.NotRun && status != http.StatusBadRequest:
 		reusable := info.reusable() && drainBody(response)
 		conn.Release(response, reusable, info.IdleTimeout)
-		return outcome{result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
+		return outcome{refusedOn: conn, result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
 		conn.Discard()
 		return outcome{result: fleet.ConnectionFailed, verdict: verdict.Unknown, code: verdict.CodeServerError, err: errInvalidResponse}
+	case p.stream.started && !continuesStream(response):
+		conn.Release(response, info.ID != "" && drainBody(response), info.IdleTimeout)
+		return outcome{result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError, err: errNoContinuation}
 	case p.route.Kind == catalog.Stream && status < 300:
 		return p.relayStream(&pendingResponse{conn: conn, response: response, info: info, resuming: p.stream.started})
 	}
 	return p.relayBuffered(conn, response, info)
 }
 
+var errNoContinuation = errors.New("the response is not the continuation of an event stream")
+
+// continuesStream reports whether the body of a response can continue a stream that another server
+// began.
+func continuesStream(response *http.Response) bool {
+	contentType := response.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return response.StatusCode == http.StatusOK && (contentType == "" || err == nil && mediaType == "text/event-stream")
+}
+
 var errInvalidResponse = errors.New("invalid response: encoded, without a server stamp, or a refusal without the not-run header")
 
 // impliesNotRun reports whether callers take a status to mean that the request did
@@ -408,16 +442,12 @@
 	if err != nil {
 		return p.connectionLost(err)
 	}
-	if response.StatusCode >= http.StatusInternalServerError && !p.stream.started {
+	if response.StatusCode >= http.StatusInternalServerError {
 		return outcome{
 			result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError,
 			response: response, body: body,
 		}
 	}
-	if p.stream.started {
-		// A resumed stream cannot continue with an error response.
-		return outcome{result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError}
-	}
 	p.writeResponse(response, body)
 	ran := verdict.Ran
 	if info.NotRun {
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -16,15 +17,15 @@
 // errNotAdmitted means that the server wants no further requests. Nothing was sent.
 var errNotAdmitted = errors.New("the server wants no further requests")
 
-// connect gets a connection to the server of an attempt. It fails with errNotAdmitted if
+// connectAdmitted is connect for the server of an attempt. It fails with errNotAdmitted if
 // the server does not admit the request, also if it has said so since the attempt began. If
 // it fails, nothing was sent.
-func (p *proxyRequest) connect(attempt *fleet.Attempt) (*upstream.Conn, error) {
+func (p *proxyRequest) connectAdmitted(ctx context.Context, attempt *fleet.Attempt) (*upstream.Conn, error) {
 	if !attempt.MaySend(time.Now()) {
 		p.gate.stats.membership.attemptsDropped.Inc(1)
 		return nil, errNotAdmitted
 	}
-	conn, err := p.gate.opts.Pool.Get(p.r.Context(), attempt.Server().Address, connectionLimit(p.service))
+	conn, err := p.connect(ctx, attempt.Server().Address)
 	if err == nil && !attempt.MaySend(time.Now()) {
 		conn.Discard()
 		p.gate.stats.membership.attemptsDropped.Inc(1)
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -29,7 +29,10 @@
 
 // streamState is what the caller has received of a stream.
 type streamState struct {
-	started     bool
+	started bool
+	// resumed means that the last events came from another server than the first ones.
+	resumed bool
+	// lastEventID is the ID of the last event, empty if it has none.
 	lastEventID string
 	eventCount  int
 	// commentBytes is the size of the comments since the last event.
@@ -38,6 +41,9 @@
 
 var errNotContiguous = errors.New("resumed stream does not continue with the next event")
 
+// errNoEvents means that the connection has ended before the first new event.
+var errNoEvents = errors.New("connection closed before the first event of the stream")
+
 var errEventTooLarge = errors.New("stream event larger than 1 MiB")
 
 // errStreamTooLong means that a server sends more than the request allows, so that the stream
@@ -67,6 +73,9 @@
 			r.buffer = append(r.buffer[:0], r.buffer[completeLen:]...)
 		}
 		switch {
+		case r.err == io.EOF && len(r.buffer) == 0 && p.lacksEvents(r) && !hasMarkedEnd(r.response):
+			r.conn.Discard()
+			return p.streamBroken(errNoEvents)
 		case r.err == io.EOF && len(r.buffer) == 0:
 			r.conn.Release(r.response, r.info.reusable(), r.info.IdleTimeout)
 			return p.streamCompleted(r.response)
@@ -90,17 +99,33 @@
 	}
 }
 
+// lacksEvents reports whether a response has had no new event yet.
+func (p *proxyRequest) lacksEvents(r *pendingResponse) bool {
+	return r.resuming || p.stream.eventCount == 0
+}
+
+// hasMarkedEnd reports whether the end of a response's body is marked, and is not just that of its
+// connection. Only then does a stream without new events count as complete: the server says that
+// none follow those that the caller has. An unmarked end may be that of a server that has failed
+// before its first event.
+func hasMarkedEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
+
 // relayEvents forwards complete events of a response and extends its deadline. It reports false,
 // with the outcome of the attempt, if the stream cannot go on.
 func (p *proxyRequest) relayEvents(control *http.ResponseController, r *pendingResponse, events []byte) (outcome, bool) {
-	if r.resuming {
+	if r.resuming || p.stream.resumed {
 		var contiguous bool
-		if events, contiguous = skipDelivered(events, p.stream.lastEventID); !contiguous {
+		if events, contiguous = p.continueEvents(events, !r.resuming); !contiguous {
 			return p.streamBroken(errNotContiguous), false
 		}
-		r.resuming = len(events) == 0
 	}
 	count, lastID := scanEvents(events)
+	if r.resuming && count > 0 {
+		_, p.stream.resumed = p.resumePoint()
+		r.resuming = false
+	}
 	if p.exceedsStream(count, len(events)) {
 		return p.streamBroken(errStreamTooLong), false
 	}
@@ -148,7 +173,7 @@
 // stallGaps times EventGapObjective if that is earlier. Until the first event it waits
 // at least for the latency objective.
 func (p *proxyRequest) stallDeadline(r *pendingResponse) time.Time {
-	if r.waited || !p.route.Resumable || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
+	if r.waited || !p.route.Resumable || !p.canResume() || p.attemptsSent >= p.route.MaxAttempts || p.route.EventGapObjective <= 0 {
 		return p.deadline
 	}
 	gap := p.route.EventGapObjective * stallGaps
@@ -161,37 +186,85 @@
 	return p.deadline
 }
 
-// skipDelivered removes the events that the caller has already received from those
-// of a resumed stream. It reports false if the event that should follow them is
-// missing. Non-numeric IDs have no order, so their events are returned unchanged.
-func skipDelivered(events []byte, lastID string) (rest []byte, contiguous bool) {
-	delivered, err := strconv.ParseInt(lastID, 10, 64)
-	if err != nil {
+// resumePoint returns the ID of the last event that the caller has, perhaps from another request.
+// It reports false if the caller has none, or if its ID is not a number.
+func (p *proxyRequest) resumePoint() (id int64, ok bool) {
+	text := p.stream.lastEventID
+	if p.stream.eventCount == 0 {
+		text = p.requestInfo.LastEventID
+	}
+	id, err := strconv.ParseInt(text, 10, 64)
+	return id, err == nil
+}
+
+// canResume reports whether another server could continue the stream: the caller has no event, or
+// the ID of the last one tells which is next.
+func (p *proxyRequest) canResume() bool {
+	_, ok := p.resumePoint()
+	return ok || p.stream.eventCount == 0
+}
+
+// continueEvents removes the events that the caller has from those of a resumed stream. It reports
+// false if the rest does not continue the stream. Without a resume point there is nothing to
+// continue, and the events are returned unchanged.
+func (p *proxyRequest) continueEvents(events []byte, begun bool) (rest []byte, contiguous bool) {
+	delivered, ok := p.resumePoint()
+	if !ok {
 		return events, true
 	}
-	for len(events) > 0 {
-		n := firstEventLen(events)
-		_, id := scanEvents(events[:n])
-		number, err := strconv.ParseInt(id, 10, 64)
-		if err != nil || number == delivered+1 {
-			return events, true
+	return continuation(events, delivered, begun)
+}
+
+// continuation removes the events up to the ID delivered, and the comments among them, from the
+// start of events. It reports false if the rest are not the events after that ID, in order and
+// without a gap: the server may have sent something else than the stream. begun means that the
+// server has sent events after those that the caller had, so that none may be repeated.
+func continuation(events []byte, delivered int64, begun bool) (rest []byte, contiguous bool) {
+	rest = events
+	for at := 0; at < len(events); {
+		n := firstEventLen(events[at:])
+		event := events[at : at+n]
+		at += n
+		if isComment(event) {
+			continue
 		}
-		if number > delivered {
+		_, text := scanEvents(event)
+		id, err := strconv.ParseInt(text, 10, 64)
+		switch {
+		case err != nil:
+			return nil, false
+		case id <= delivered && !begun:
+			rest = events[at:]
+		case id == delivered+1:
+			delivered, begun = id, true
+		default:
 			return nil, false
 		}
-		events = events[n:]
 	}
-	return nil, true
+	return rest, true
+}
+
+// isComment reports whether a complete event has only comments and reconnection times.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")) {
+			return false
+		}
+	}
+	return true
 }
 
 // firstEventLen returns the length of the first of the given complete events.
 func firstEventLen(events []byte) int {
-	for n := 1; n < len(events); n++ {
-		if completeEventsLen(events[:n]) == n {
-			return n
+	size := 0
+	for line := range bytes.Lines(events) {
+		size += len(line)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
 		}
 	}
-	return len(events)
+	return size
 }
 
 // deliver forwards complete events to the caller. count of them have data or an ID, and lastID is the
@@ -213,10 +286,7 @@
 	p.stream.eventCount += count
 	p.stream.commentBytes += len(events)
 	if count > 0 {
-		p.stream.commentBytes = 0
-	}
-	if lastID != "" {
-		p.stream.lastEventID = lastID
+		p.stream.commentBytes, p.stream.lastEventID = 0, lastID
 	}
 	p.gate.stats.events.Inc(int64(count))
 	return nil
@@ -265,10 +335,10 @@
 	return end
 }
 
-// scanEvents counts the events in b that have data or an ID, and returns the last ID
-// among them. b must hold complete events.
+// scanEvents counts the events in b that have data or an ID, and returns the ID of the
+// last of them, empty if it has none. b must hold complete events.
 func scanEvents(b []byte) (count int, lastID string) {
-	hasDataOrID := false
+	id, hasDataOrID := "", false
 	for len(b) > 0 {
 		line, rest, _ := bytes.Cut(b, []byte("\n"))
 		b = rest
@@ -277,11 +347,11 @@
 		case len(line) == 0:
 			if hasDataOrID {
 				count++
+				lastID = id
 			}
-			hasDataOrID = false
+			id, hasDataOrID = "", false
 		case bytes.HasPrefix(line, []byte("id:")):
-			lastID = string(bytes.TrimSpace(line[len("id:"):]))
-			hasDataOrID = true
+			id, hasDataOrID = string(bytes.TrimSpace(line[len("id:"):])), true
 		case bytes.HasPrefix(line, []byte("data")):
 			hasDataOrID = true
 		}
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -5,10 +5,9 @@
 
 import (
 	"context"
-	"net"
+	"errors"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -16,54 +15,54 @@
 	// checkInterval is the time between two checks for idle connections in a shutdown.
 	checkInterval = 10 * time.Millisecond
 	// firstRequestTime is how long a shutdown waits for the first request on a new
-	// connection, or for the rest of a request that has begun to arrive.
+	// connection.
 	firstRequestTime = 4 * time.Second
 )
 
-// Conn is a connection that Conns follows.
-type Conn struct {
-	net.Conn
-	// received is set when bytes have arrived since the connection was opened or became
-	// idle.
-	received atomic.Bool
-}
-
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.received.Load() {
-		c.received.Store(true)
-	}
-	return n, err
-}
-
-// Conns holds the state of each open connection of an HTTP server. It is safe for
-// concurrent use. No other lock is acquired while its mutex is held.
+// Conns holds the open connections of an HTTP server. It is safe for concurrent use. Of the
+// locks only that of a Conn is acquired while its mutex is held.
 type Conns struct {
 	mu     sync.Mutex
-	states map[*Conn]connState
+	limits Limits
+	open   map[*Conn]struct{}
 }
 
-type connState struct {
-	state http.ConnState
-	since time.Time
-}
-
-// NewConns returns an empty Conns.
-func NewConns() *Conns { return &Conns{states: make(map[*Conn]connState)} }
+// NewConns returns an empty Conns without limits.
+func NewConns() *Conns { return &Conns{open: make(map[*Conn]struct{})} }
 
 // SetState records the state of a connection. The server's ConnState hook calls it.
 func (s *Conns) SetState(conn *Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		conn.received.Store(false)
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(s.states, conn)
-		return
+		delete(s.open, conn)
+	} else {
+		s.open[conn] = struct{}{}
+	}
+	conn.setState(state, s.limits, time.Now())
+}
+
+// SetLimits changes the limits of new and open connections. Where it raises a limit, waits in
+// progress become longer; where it lowers one, they keep the limit with which they began.
+// The server's own timeouts apply as well.
+func (s *Conns) SetLimits(limits Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = limits
+	for conn := range s.open {
+		conn.setLimits(limits)
 	}
-	s.states[conn] = connState{state: state, since: time.Now()}
+}
+
+// Close closes all open connections, also those with a request in progress.
+func (s *Conns) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var errs []error
+	for conn := range s.open {
+		errs = append(errs, conn.Close())
+	}
+	return errors.Join(errs...)
 }
 
 // Drain waits until all connections are closed or ctx ends, whose error it returns then.
@@ -87,23 +86,8 @@
 func (s *Conns) expireIdle(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn, c := range s.states {
-		if c.expired(conn, now) {
-			// An error means that the connection is already closed.
-			_ = conn.SetReadDeadline(now)
-		}
-	}
-	return len(s.states)
-}
-
-// expired reports whether a shutdown ends the wait for a request.
-func (c connState) expired(conn *Conn, now time.Time) bool {
-	switch {
-	case c.state == http.StateActive:
-		return false
-	case c.state == http.StateIdle && !conn.received.Load():
-		return true
-	default:
-		return now.Sub(c.since) > firstRequestTime
+	for conn := range s.open {
+		conn.expire(now)
 	}
+	return len(s.open)
 }
