--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -71,7 +71,8 @@
 }
 
 // Router chooses servers. It is safe for concurrent use. Lock order: placementMu, mu,
-// table.mu, server.mu, pool.mu. No lock is held during I/O.
+// table.mu, server.mu, then pool.mu or that of a membership.Member. No lock is held during
+// I/O.
 type Router struct {
 	Options
 	linkLimiter        atomic.Pointer[rate.Limiter]
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -69,7 +69,7 @@
 }
 
 // server is the health and load of one backend server as seen by the router. Lock
-// order: mu, then pool.mu. Methods that do not lock mu require that the caller holds
+// order: mu, then pool.mu or that of member. Methods that do not lock mu require that the caller holds
 // it.
 type server struct {
 	pool *pool
