--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 )
 
 // Result classifies the end of an attempt for the server's health.
@@ -73,6 +75,7 @@
 	inProgress        atomic.Int32
 	awaitingFirstByte atomic.Int32
 	stats             *serviceStats
+	member            *membership.Member
 
 	mu                      sync.Mutex
 	consecutiveConnFailures int // attempts with ConnectionFailed or TimedOut since the last response or Shed
@@ -86,10 +89,14 @@
 	degradedSince           time.Time
 }
 
-func newServer(e Entry, stats *serviceStats) *Server {
-	return &Server{Entry: e, Key: xxhash.Sum64String(e.ID), stats: stats}
+func newServer(e Entry, stats *serviceStats, member *membership.Member) *Server {
+	return &Server{Entry: e, Key: xxhash.Sum64String(e.ID), stats: stats, member: member}
 }
 
+// Member returns what the server has said of its membership in this lifetime. It is the
+// same for all Servers of one lifetime.
+func (s *Server) Member() *membership.Member { return s.member }
+
 // InProgress returns the number of this gate's requests in progress at the server.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
@@ -103,9 +110,13 @@
 
 func (s *Server) setRank(rank float64) { s.rank.Store(math.Float64bits(rank)) }
 
-// Usable reports whether the server may get a request now. After a failure and its
-// backoff it gets one request at a time until it responds to one.
+// Usable reports whether the server may get a request now: its membership admits one, and
+// it is not in backoff. After a failure and its backoff it gets one request at a time until
+// it responds to one.
 func (s *Server) Usable(now time.Time) bool {
+	if !s.member.Available(now) {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.misdirected || now.Before(s.backoffUntil) {
@@ -114,6 +125,18 @@
 	return s.consecutiveFailures == 0 || !s.probing
 }
 
+// usableAt returns the earliest time from now on at which the server may get a request, as
+// far as is known. It returns false if it will get none in this lifetime.
+func (s *Server) usableAt(now time.Time) (time.Time, bool) {
+	at, ok := s.member.AvailableAt(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backoffUntil.After(at) {
+		at = s.backoffUntil
+	}
+	return at, ok && !s.misdirected
+}
+
 // Degraded reports whether the server should be chosen only if no other can be: it
 // has just shed a request, is slow or returns more errors than others of its service.
 // It resets the averages of a server that was slow or returned errors for
@@ -144,6 +167,7 @@
 	server          *Server
 	class           PromptClass
 	started         time.Time
+	admitted        bool // by the server's membership
 	gotFirstByte    bool
 	ended           bool
 	timeToFirstByte time.Duration
@@ -167,9 +191,16 @@
 	s.mu.Lock()
 	s.probing = s.consecutiveFailures > 0
 	s.mu.Unlock()
-	return &Attempt{server: s, class: class, started: now}
+	return &Attempt{server: s, class: class, started: now, admitted: s.member.Admit(now)}
 }
 
+// MaySend reports whether the request may be sent now. It is false if concurrent requests
+// were admitted instead, or if the server has said since Begin that it wants no requests.
+func (a *Attempt) MaySend(now time.Time) bool { return a.admitted && a.server.member.Accepts(now) }
+
+// Server returns the server of the attempt.
+func (a *Attempt) Server() *Server { return a.server }
+
 // FirstByte records the first byte of the response. Further calls, and those after End, do nothing.
 func (a *Attempt) FirstByte(now time.Time) {
 	if a.gotFirstByte || a.ended {
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -161,9 +161,9 @@
 	case p.mayHaveRun:
 		p.refuse(unknownOutcomeError(last))
 	case last == nil:
-		p.refuse(verdict.New(verdict.NotRun, verdict.CodeNoServer, "no server is available").WithRetryAfter(retryAfterUnavailable))
+		p.refuse(verdict.New(verdict.NotRun, verdict.CodeNoServer, "no server is available").WithRetryAfter(p.retryAfter()))
 	default:
-		p.refuse(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no server accepted the request").WithRetryAfter(retryAfterUnavailable))
+		p.refuse(verdict.New(verdict.NotRun, verdict.CodeOverloaded, "no server accepted the request").WithRetryAfter(p.retryAfter()))
 	}
 	return true
 }
@@ -226,7 +226,7 @@
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
 	ctx := p.r.Context()
-	conn, err := p.connect(ctx, s.Address)
+	conn, err := p.connectAdmitted(ctx, attempt)
 	if err != nil {
 		return p.connectFailure(err)
 	}
@@ -264,7 +264,7 @@
 func (p *proxyRequest) connectFailure(err error) outcome {
 	result := fleet.Unreachable
 	switch {
-	case p.r.Context().Err() != nil:
+	case p.r.Context().Err() != nil, errors.Is(err, errNotAdmitted):
 		result = fleet.Canceled
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		result = fleet.Shed
@@ -317,6 +317,7 @@
 			continue
 		}
 		attempt.FirstByte(time.Now())
+		p.gate.updateMembership(attempt.Server(), response.StatusCode, info)
 		return p.handleResponse(conn, response, info, attempt)
 	}
 	conn.Discard()
@@ -391,9 +392,7 @@
 		conn.Discard()
 		return outcome{result: fleet.Misdirected, verdict: verdict.NotRun, code: verdict.CodeNoServer}
 	case info.NotRun && status != http.StatusBadRequest:
-		// Without an ID, a second copy of the refusal could not be told from the response to
-		// the next request on the connection.
-		reusable := info.ID != "" && drainBody(response)
+		reusable := info.reusable() && drainBody(response)
 		conn.Release(response, reusable, info.IdleTimeout)
 		return outcome{refusedOn: conn, result: fleet.Shed, verdict: verdict.NotRun, code: verdict.CodeOverloaded}
 	case info.Encoded, !info.Stamped && !info.NotRun, impliesNotRun(status) && !info.NotRun:
@@ -439,7 +438,7 @@
 		return p.connectionLost(err)
 	}
 	body, err := readBounded(response.Body, response.ContentLength, maxResponseBytes, &p.memory)
-	conn.Release(response, err == nil && info.ID != "", info.IdleTimeout)
+	conn.Release(response, err == nil && info.reusable(), info.IdleTimeout)
 	if err != nil {
 		return p.connectionLost(err)
 	}
