Share the evidence of crashes between gates

Cause: callers lose their servers one after the other to requests that have one part of a prompt in common. Each gate sees only a few of these crashes and keeps none of them. No process uses it yet.

--- /dev/null
+++ b/internal/suspect/decision.go
@@ -0,0 +1,206 @@
+package suspect
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// standing is the result for one fingerprint.
+type standing struct {
+	// score grows with each crash that counts against the fingerprint.
+	score   int
+	blocked bool
+	// crashes are the IDs of the crashes that count.
+	crashes []string
+	// lastAt and lastWeight are those of the last crash that counts.
+	lastAt     int64
+	lastWeight int
+}
+
+// decision is the result of the evidence. It is the same in all processes that have the
+// same evidence and policy.
+type decision struct {
+	policy    Policy
+	standings map[uint64]*standing
+	// explained holds the numbers of the crashes with a known cause.
+	explained map[int64]bool
+}
+
+// threshold is the score at which a fingerprint is blocked.
+func (p Policy) threshold() int { return p.BegunCrashes * p.Crashes }
+
+// weight is what a crash adds to a score, so that BegunCrashes or Crashes of them reach the
+// threshold.
+func (p Policy) weight(begun bool) int {
+	if begun {
+		return p.Crashes
+	}
+	return p.BegunCrashes
+}
+
+// decide goes through the crashes in their order.
+func (e *Evidence) decide(p Policy) decision {
+	d := decision{policy: p, standings: map[uint64]*standing{}, explained: map[int64]bool{}}
+	sound := make(map[uint64]SoundMark, len(e.Sound))
+	for _, s := range e.Sound {
+		sound[s.Fingerprint] = s
+	}
+	for _, crash := range e.Crashes {
+		if d.explains(crash, sound) {
+			d.explained[crash.Number] = true
+			continue
+		}
+		d.count(crash, sound)
+		if cause := d.cause(crash, sound); cause != nil {
+			cause.blocked = true
+		}
+	}
+	return d
+}
+
+// explains reports whether a crash has a known cause: a blocked fingerprint, or one that was
+// blocked and has been answered since.
+func (d *decision) explains(crash Crash, sound map[uint64]SoundMark) bool {
+	for _, candidate := range crash.Candidates {
+		for _, f := range candidate.Fingerprints {
+			if d.blocked(f) || sound[f].ClosedUpTo >= crash.Number {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// count counts a crash once against each fingerprint of its candidates.
+func (d *decision) count(crash Crash, sound map[uint64]SoundMark) {
+	counted := map[uint64]bool{}
+	for _, candidate := range crash.Candidates {
+		for _, f := range candidate.Fingerprints {
+			if counted[f] || sound[f].UpTo >= crash.Number {
+				continue
+			}
+			counted[f] = true
+			s := d.standings[f]
+			if s == nil {
+				s = &standing{}
+				d.standings[f] = s
+			}
+			s.add(crash, d.policy.weight(candidate.Begun), d.policy.MinSpacing.Milliseconds())
+		}
+	}
+}
+
+// add counts a crash. Of crashes within spacing milliseconds only the heaviest counts.
+func (s *standing) add(crash Crash, weight int, spacing int64) {
+	gap := crash.At - s.lastAt
+	if len(s.crashes) > 0 && max(gap, -gap) < spacing {
+		s.score += max(weight-s.lastWeight, 0)
+		s.lastWeight = max(weight, s.lastWeight)
+		return
+	}
+	s.score += weight
+	s.lastAt, s.lastWeight = crash.At, weight
+	s.crashes = append(s.crashes, crash.ID)
+}
+
+// cause returns the fingerprint to block for a crash that was counted, nil if there is none.
+// All less specific fingerprints of a request that crashes servers reach the threshold no
+// later than its cause, so it is the most specific one.
+func (d *decision) cause(crash Crash, sound map[uint64]SoundMark) *standing {
+	var cause *standing
+	best := -1
+	for _, candidate := range crash.Candidates {
+		for depth, f := range candidate.Fingerprints {
+			if depth == len(candidate.Fingerprints)-1 {
+				depth = math.MaxInt // the whole request
+			}
+			s := d.standings[f]
+			if s == nil || sound[f].UpTo >= crash.Number || s.score < d.policy.threshold() {
+				continue
+			}
+			if depth > best || depth == best && s.score > cause.score {
+				cause, best = s, depth
+			}
+		}
+	}
+	return cause
+}
+
+func (d *decision) blocked(fingerprint uint64) bool {
+	s := d.standings[fingerprint]
+	return s != nil && s.blocked
+}
+
+// nearBlock reports whether one more crash can block the fingerprint.
+func (d *decision) nearBlock(fingerprint uint64) bool {
+	s := d.standings[fingerprint]
+	return s != nil && !s.blocked && s.score > 0 &&
+		s.score+max(d.policy.weight(true), d.policy.weight(false)) >= d.policy.threshold()
+}
+
+// prune removes what is no longer needed: expired crashes that block nothing, the least
+// important crashes beyond MaxCrashes, and marks and trials without effect.
+func (e *Evidence) prune(p Policy, expired func(Crash) bool) {
+	d := e.decide(p)
+	decisive := map[string]bool{}
+	for _, s := range d.standings {
+		if s.blocked {
+			for _, id := range s.crashes {
+				decisive[id] = true
+			}
+		}
+	}
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !decisive[c.ID] && expired(c) })
+	e.dropExcess(p.MaxCrashes, func(c Crash) int {
+		switch {
+		case d.explained[c.Number]:
+			return 0
+		case !decisive[c.ID]:
+			return 1
+		}
+		return 2
+	})
+	e.pruneMarks()
+	blocked := e.decide(p)
+	e.Trials = slices.DeleteFunc(e.Trials, func(t Trial) bool { return !blocked.blocked(t.Fingerprint) })
+	e.Trials = e.Trials[max(0, len(e.Trials)-maxTrials):]
+}
+
+// dropExcess drops crashes beyond limit: those of the lowest rank first, and the oldest first
+// of one rank.
+func (e *Evidence) dropExcess(limit int, rank func(Crash) int) {
+	excess := len(e.Crashes) - limit
+	if excess <= 0 {
+		return
+	}
+	order := slices.Clone(e.Crashes)
+	slices.SortStableFunc(order, func(a, b Crash) int { return cmp.Compare(rank(a), rank(b)) })
+	dropped := map[string]bool{}
+	for _, c := range order[:excess] {
+		dropped[c.ID] = true
+	}
+	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return dropped[c.ID] })
+}
+
+// pruneMarks removes the marks that no crash is affected by, and the oldest beyond
+// maxSoundMarks.
+func (e *Evidence) pruneMarks() {
+	first := map[uint64]int64{} // number of the first crash by fingerprint
+	for _, c := range e.Crashes {
+		for _, candidate := range c.Candidates {
+			for _, f := range candidate.Fingerprints {
+				if first[f] == 0 {
+					first[f] = c.Number
+				}
+			}
+		}
+	}
+	e.Sound = slices.DeleteFunc(e.Sound, func(s SoundMark) bool {
+		return first[s.Fingerprint] == 0 || s.UpTo < first[s.Fingerprint]
+	})
+	if excess := len(e.Sound) - maxSoundMarks; excess > 0 {
+		slices.SortStableFunc(e.Sound, func(a, b SoundMark) int { return cmp.Compare(a.UpTo, b.UpTo) })
+		e.Sound = e.Sound[excess:]
+	}
+}
