Decide about the router's suspects by the same evidence

Change: the table keeps permits and expiry; crashes, clearing and blocking are those of Evidence with a policy of two crashes. Result: the tests of suspect and dispatch pass unchanged, dispatch also under -race -cpu 1.

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -96,7 +96,7 @@
 	if len(crashes) == 0 {
 		return nil
 	}
-	if len(crashes) >= crashesToBlock {
+	if r.table.blocked(fingerprint) {
 		return r.refuseBlocked()
 	}
 	home, ok := r.home(fingerprint, r.Region)
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -1,17 +1,6 @@
-// Package suspect limits the damage of poison requests, which crash the server that
-// runs them. A suspect is a request that was in progress when a server crashed. Every
-// router has a table of suspects by request fingerprint. A suspect runs only with a
-// permit of its home router, which rendezvous hashing chooses among the routers of the
-// region and which permits one attempt at a time. A suspect that completes is cleared;
-// one that was in progress at further crashes is refused.
-//
-// The dispatcher asks a Registry for permits and reports the ends of attempts and the
-// crashes that it sees; other routers and agents call its RPC service. The package must
-// not know HTTP or how servers are chosen.
 package suspect
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -22,9 +11,7 @@
 )
 
 const (
-	// crashesToBlock is the number of crashes after which a suspect is refused. A
-	// request must not crash more than 3 servers; the difference is a margin for
-	// routers that do not know of the second crash yet.
+	// crashesToBlock is the number of crashes after which a suspect is refused.
 	crashesToBlock = 2
 	// suspectTTL is how long a suspect is kept after its last new crash or clearing.
 	suspectTTL = time.Hour
@@ -36,40 +23,65 @@
 	busyRetryAfter = 2 * time.Second
 	// maxSuspects bounds the table. The least recently used suspects are evicted.
 	maxSuspects = 16384
-	// maxCrashes bounds each list of crashes kept for one suspect.
+	// maxCrashes bounds the crashes that count against one suspect, and those kept from
+	// before it was cleared.
 	maxCrashes = 16
 )
 
+// policy blocks a request at the second crash. A request must not crash more than 3 servers;
+// the difference is a margin for routers that do not know of the second crash yet. Blocked
+// requests get no trials here: they expire.
+var policy = Policy{BegunCrashes: crashesToBlock, Crashes: crashesToBlock, MaxCrashes: maxCrashes}
+
 // entry is the state of one fingerprint.
 type entry struct {
-	crashes []uuid.UUID
-	// cleared holds the crashes before a completed attempt. Late reports of them
-	// are ignored.
-	cleared          []uuid.UUID
+	// evidence has this fingerprint as its only candidate. A completed attempt adds a sound
+	// mark, so that late reports of earlier crashes are ignored.
+	evidence         Evidence
 	lastChange       time.Time // of the last new crash or clearing
 	permittedAttempt uuid.UUID // the attempt that has the permit, at the home router
 	permitUntil      time.Time
 }
 
-func (e *entry) blocked() bool { return len(e.crashes) >= crashesToBlock }
+func (e *entry) blocked(fingerprint uint64) bool {
+	d := e.evidence.decide(policy)
+	return d.blocked(fingerprint)
+}
+
+// crashes returns the crashes that count against the fingerprint.
+func (e *entry) crashes(fingerprint uint64) []uuid.UUID {
+	var crashes []uuid.UUID
+	for _, c := range e.evidence.Crashes {
+		if !e.evidence.hasSound(SoundMark{Fingerprint: fingerprint, UpTo: c.Number}) {
+			crashes = append(crashes, uuid.MustParse(c.ID))
+		}
+	}
+	return crashes
+}
 
 // addCrash adds a crash and revokes the permit, unless the crash is known or there are
 // maxCrashes already. It reports whether it has added the crash.
-func (e *entry) addCrash(crash uuid.UUID, now time.Time) bool {
-	if slices.Contains(e.crashes, crash) || slices.Contains(e.cleared, crash) || len(e.crashes) >= maxCrashes {
+func (e *entry) addCrash(fingerprint uint64, crash uuid.UUID, now time.Time) bool {
+	if len(e.crashes(fingerprint)) >= maxCrashes {
 		return false
 	}
-	e.crashes = append(e.crashes, crash)
+	added := e.evidence.addCrash(Crash{
+		ID: crash.String(), At: now.UnixMilli(), Candidates: []Candidate{{Fingerprints: []uint64{fingerprint}}},
+	})
+	if !added {
+		return false
+	}
+	// Of the crashes before the last clearing, only the newest are kept.
+	e.evidence.dropExcess(2*maxCrashes, func(Crash) int { return 0 })
 	e.lastChange = now
 	e.permittedAttempt = uuid.Nil
 	return true
 }
 
-// clear moves all crashes to cleared.
-func (e *entry) clear(now time.Time) {
-	cleared := append(e.cleared, e.crashes...)
-	e.cleared = cleared[max(0, len(cleared)-maxCrashes):]
-	e.crashes, e.lastChange = nil, now
+// clear marks the fingerprint as sound at all known crashes.
+func (e *entry) clear(fingerprint uint64, now time.Time) {
+	e.evidence.addSound(SoundMark{Fingerprint: fingerprint, UpTo: e.evidence.LastNumber})
+	e.lastChange = now
 }
 
 // table holds the suspects known to a router. It is safe for concurrent use.
@@ -110,23 +122,31 @@
 	return e
 }
 
-// crashes returns the known crashes of a fingerprint, nil if it is not a suspect.
+// crashes returns the crashes that count against a fingerprint, nil if it is not a suspect.
 func (t *table) crashes(fingerprint uint64) []uuid.UUID {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.find(fingerprint, time.Now()); e != nil {
-		return slices.Clone(e.crashes)
+		return e.crashes(fingerprint)
 	}
 	return nil
 }
 
+// blocked reports whether a fingerprint has crashed too many servers.
+func (t *table) blocked(fingerprint uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(fingerprint, time.Now())
+	return e != nil && e.blocked(fingerprint)
+}
+
 // add adds a crash to the given fingerprints and returns those for which it is new.
 func (t *table) add(crash uuid.UUID, fingerprints []uint64) (added []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
 	for _, fingerprint := range fingerprints {
-		if t.findOrAdd(fingerprint, now).addCrash(crash, now) {
+		if t.findOrAdd(fingerprint, now).addCrash(fingerprint, crash, now) {
 			added = append(added, fingerprint)
 		}
 	}
@@ -139,7 +159,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	if e := t.find(fingerprint, now); e != nil {
-		e.clear(now)
+		e.clear(fingerprint, now)
 	}
 }
 
@@ -156,14 +176,15 @@
 	}
 	e := t.findOrAdd(args.Fingerprint, now)
 	for _, crash := range args.Crashes {
-		e.addCrash(crash, now)
+		e.addCrash(args.Fingerprint, crash, now)
 	}
-	reply := wire.PermitReply{Crashes: len(e.crashes)}
+	crashes := len(e.crashes(args.Fingerprint))
+	reply := wire.PermitReply{Crashes: crashes}
 	busy := e.permittedAttempt != uuid.Nil && e.permittedAttempt != args.Attempt && now.Before(e.permitUntil)
 	switch {
-	case e.blocked():
+	case e.blocked(args.Fingerprint):
 		reply.Blocked = true
-	case busy && len(e.crashes) > 0:
+	case busy && crashes > 0:
 		reply.RetryAfterMillis = busyRetryAfter.Milliseconds()
 	default:
 		reply.Granted = true
@@ -181,6 +202,6 @@
 	}
 	e.permittedAttempt = uuid.Nil
 	if args.Completed {
-		e.clear(now)
+		e.clear(args.Fingerprint, now)
 	}
 }
