Renumber crashes before their numbers exceed the bound

Cause: evidence whose last number is at the bound could be decoded, but not any more after the next crash was added; other processes would have ignored it. Found by the new fuzz target. Change: crashes are renumbered when the bound is reached; the fuzz target.

--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -22,8 +22,10 @@
 	maxIDBytes = 256
 	// maxStoredCrashes bounds the crashes of decoded evidence.
 	maxStoredCrashes = 64
-	// maxMillis bounds times and numbers, so that differences cannot overflow.
+	// maxMillis bounds times and maxNumber the numbers of crashes and trials, so that sums and
+	// differences cannot overflow.
 	maxMillis = 1 << 53
+	maxNumber = 1 << 53
 	// evidenceVersion is the format version of encoded evidence.
 	evidenceVersion = 1
 )
@@ -144,6 +146,9 @@
 		known.Candidates = merged
 		return true
 	}
+	if e.LastNumber >= maxNumber {
+		e.renumber()
+	}
 	e.LastNumber++
 	e.Crashes = append(e.Crashes, Crash{
 		ID: c.ID, Number: e.LastNumber, At: min(max(c.At, 0), maxMillis), Candidates: candidates,
@@ -151,6 +156,21 @@
 	return true
 }
 
+// renumber gives the crashes the lowest numbers, in the same order.
+func (e *Evidence) renumber() {
+	upTo := func(number int64) int64 {
+		return int64(len(slices.DeleteFunc(slices.Clone(e.Crashes), func(c Crash) bool { return c.Number > number })))
+	}
+	for i := range e.Sound {
+		e.Sound[i].UpTo, e.Sound[i].ClosedUpTo = upTo(e.Sound[i].UpTo), upTo(e.Sound[i].ClosedUpTo)
+	}
+	e.Sound = slices.DeleteFunc(e.Sound, func(s SoundMark) bool { return s.UpTo == 0 })
+	for i := range e.Crashes {
+		e.Crashes[i].Number = int64(i + 1)
+	}
+	e.LastNumber = int64(len(e.Crashes))
+}
+
 func (c Candidate) equal(o Candidate) bool {
 	return c.Begun == o.Begun && slices.Equal(c.Fingerprints, o.Fingerprints)
 }
@@ -228,7 +248,7 @@
 // addTrial records a further trial of a fingerprint.
 func (e *Evidence) addTrial(fingerprint uint64, owner string) {
 	next := e.trialOf(fingerprint)
-	next.Count, next.Owner = next.Count+1, owner
+	next.Count, next.Owner = min(next.Count+1, maxNumber), owner
 	e.Trials = slices.DeleteFunc(e.Trials, func(t Trial) bool { return t.Fingerprint == fingerprint })
 	e.Trials = append(e.Trials, next)
 }
@@ -280,7 +300,7 @@
 		}
 		ids[c.ID], last = true, c.Number
 	}
-	if e.LastNumber < last || e.LastNumber > maxMillis {
+	if e.LastNumber < last || e.LastNumber > maxNumber {
 		return errInvalidEvidence
 	}
 	return e.validateMarks()
@@ -305,7 +325,7 @@
 		}
 	}
 	for _, t := range e.Trials {
-		if t.Count <= 0 || t.Count > maxMillis || len(t.Owner) > maxIDBytes {
+		if t.Count <= 0 || t.Count > maxNumber || len(t.Owner) > maxIDBytes {
 			return errInvalidEvidence
 		}
 	}
--- /dev/null
+++ b/internal/suspect/evidence_test.go
@@ -0,0 +1,245 @@
+package suspect
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/monsoonworks/monsoonworks/devel/standin/faultstore"
+	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
+)
+
+// begun and waiting return a candidate.
+func begun(fingerprints ...uint64) Candidate {
+	return Candidate{Fingerprints: fingerprints, Begun: true}
+}
+func waiting(fingerprints ...uint64) Candidate {
+	return Candidate{Fingerprints: fingerprints}
+}
+
+// crashesOf returns evidence with one crash a second for each list of candidates.
+func crashesOf(crashes ...[]Candidate) Evidence {
+	e := Evidence{}
+	for i, candidates := range crashes {
+		e.addCrash(Crash{ID: fmt.Sprint("s/", i+1), At: int64(i+1) * 1000, Candidates: candidates})
+	}
+	return e
+}
+
+func blockedOf(e Evidence, p Policy) []uint64 {
+	d := e.decide(p)
+	blocked := []uint64{}
+	for f := range uint64(1000) {
+		if d.blocked(f) {
+			blocked = append(blocked, f)
+		}
+	}
+	return blocked
+}
+
+// Guards against the block of a fingerprint that sound requests share, and against a cause that
+// is not blocked at once.
+func TestMostSpecificCauseIsBlocked(t *testing.T) {
+	one := func(c ...Candidate) []Candidate { return c }
+	poison := func(own uint64) []Candidate { return one(begun(1, 2, 3, own)) }
+	repeat := func(n int, c ...Candidate) (crashes [][]Candidate) {
+		for range n {
+			crashes = append(crashes, c)
+		}
+		return crashes
+	}
+	for _, test := range []struct {
+		name    string
+		crashes [][]Candidate
+		want    []uint64
+	}{
+		{"two crashes", [][]Candidate{poison(100), poison(101)}, []uint64{}},
+		{"three crashes", [][]Candidate{poison(100), poison(101), poison(102)}, []uint64{3}},
+		{"one request, then others", [][]Candidate{poison(100), poison(100), poison(100), poison(101), poison(102)}, []uint64{3, 100}},
+		{"the second part", [][]Candidate{one(begun(1, 2, 3, 100)), one(begun(1, 2, 4, 101)), one(begun(1, 2, 5, 102))}, []uint64{2}},
+		{"an innocent part in the first crashes", [][]Candidate{poison(100), poison(101), poison(102), one(begun(1, 2, 4, 103)), poison(104)}, []uint64{2, 3}},
+		{"bystanders whose answers had not begun", repeat(4, begun(1, 2, 3, 100), waiting(7, 8, 101)), []uint64{100}},
+		{"not begun", repeat(4, waiting(1, 2, 100)), []uint64{}},
+		{"not begun, five crashes", repeat(5, waiting(1, 2, 100)), []uint64{100}},
+		{"a mix", append(repeat(2, waiting(1, 2, 100)), poison(101), poison(102)), []uint64{2}},
+		{"explained crashes count against nothing else", append([][]Candidate{poison(100), poison(101), poison(102)}, repeat(9, begun(1, 2, 3, 103))...), []uint64{3}},
+	} {
+		e := crashesOf(test.crashes...)
+		qt.Check(t, blockedOf(e, DefaultPolicy()), qt.DeepEquals, test.want, qt.Commentf("%s", test.name))
+	}
+}
+
+// Guards against crashes that count although a request was answered since, and against a cause
+// whose end makes its crashes count against other fingerprints.
+func TestSoundMarks(t *testing.T) {
+	c := qt.New(t)
+	e := crashesOf([]Candidate{begun(1, 9)}, []Candidate{begun(1, 8)}, []Candidate{begun(1, 7)})
+	c.Assert(blockedOf(e, DefaultPolicy()), qt.DeepEquals, []uint64{1})
+	c.Assert(e.addSound(SoundMark{Fingerprint: 1, UpTo: 2}), qt.IsTrue)
+	c.Assert(e.addSound(SoundMark{Fingerprint: 1, UpTo: 1}), qt.IsFalse)
+	c.Assert(blockedOf(e, DefaultPolicy()), qt.HasLen, 0)
+
+	e = crashesOf([]Candidate{begun(1, 2, 9)}, []Candidate{begun(1, 2, 8)}, []Candidate{begun(1, 2, 7)}, []Candidate{begun(1, 2, 6)})
+	e.addSound(SoundMark{Fingerprint: 2, UpTo: 4, ClosedUpTo: 4})
+	e.addCrash(Crash{ID: "s/5", At: 9000, Candidates: []Candidate{begun(1, 5)}})
+	c.Assert(blockedOf(e, DefaultPolicy()), qt.HasLen, 0)
+}
+
+// Guards against servers that crash together and count as several crashes, whatever the clocks
+// of the reporters say.
+func TestCrashesTogetherCountOnce(t *testing.T) {
+	e := Evidence{}
+	for i := range 9 {
+		e.addCrash(Crash{ID: fmt.Sprint(i), At: int64(i%2) * 150, Candidates: []Candidate{begun(1, uint64(100+i))}})
+	}
+	qt.Assert(t, blockedOf(e, DefaultPolicy()), qt.HasLen, 0)
+}
+
+// Guards against merges that depend on how often a report arrives, and against a block that is
+// lost because further crashes exceed the bound.
+func TestEvidenceIsBounded(t *testing.T) {
+	c := qt.New(t)
+	e := crashesOf([]Candidate{begun(1, 2, 9)}, []Candidate{begun(1, 2, 8)}, []Candidate{begun(1, 2, 7)})
+	c.Assert(e.addCrash(Crash{ID: "s/2", Candidates: []Candidate{begun(1, 2, 8), waiting(4, 5)}}), qt.IsFalse)
+	never := func(Crash) bool { return false }
+	for i := range uint64(200) {
+		e.addCrash(Crash{ID: fmt.Sprint("t", i), At: int64(10_000 + 1000*i), Candidates: []Candidate{waiting(500 + i)}})
+		e.prune(DefaultPolicy(), never)
+	}
+	c.Assert(e.Crashes, qt.HasLen, maxStoredCrashes)
+	c.Assert(blockedOf(e, DefaultPolicy()), qt.DeepEquals, []uint64{2})
+	e.prune(DefaultPolicy(), func(Crash) bool { return true })
+	c.Assert(e.Crashes, qt.HasLen, 3)
+	raw, err := e.Encode()
+	c.Assert(err, qt.IsNil)
+	decoded, err := DecodeEvidence(raw)
+	c.Assert(err, qt.IsNil)
+	c.Assert(blockedOf(decoded, DefaultPolicy()), qt.DeepEquals, []uint64{2})
+}
+
+// Any stored bytes either decode to evidence that can be merged, decided and stored again, or
+// give an error.
+func FuzzEvidence(f *testing.F) {
+	f.Add([]byte(`{"v":1,"last":3,"crashes":[{"id":"a/1","n":1,"at":5,"c":[{"f":[1,18446744073709551615],"begun":true}]}],"sound":[{"f":1,"n":2,"closed":1}],"trials":[{"f":1,"count":1,"owner":"x"}]}`))
+	f.Add([]byte(`{"v":1,"last":9007199254740992,"crashes":[{"id":"a","n":1,"at":9007199254740992,"c":[{"f":[1]}]},{"id":"b","n":2,"at":0,"c":[{"f":[1]}]}]}`))
+	f.Add([]byte(`{"v":1,"crashes":[{"id":"a","n":-1,"at":-9223372036854775808,"c":[{"f":[]}]}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		e, err := DecodeEvidence(raw)
+		if err != nil {
+			return
+		}
+		for range 3 {
+			e.addCrash(Crash{ID: "new", At: 1, Candidates: []Candidate{begun(1, 2)}})
+			e.addCrash(Crash{ID: "newer", At: 1000, Candidates: []Candidate{waiting(1, 2)}})
+			e.addSound(SoundMark{Fingerprint: 1, UpTo: e.LastNumber})
+			e.addTrial(2, "owner")
+		}
+		e.prune(DefaultPolicy(), func(c Crash) bool { return c.Number%2 == 0 })
+		encoded, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := DecodeEvidence(encoded); err != nil {
+			t.Fatalf("%v: %s", err, encoded)
+		}
+	})
+}
+
+// newTestShared returns a Shared that runs until the test ends.
+func newTestShared(t *testing.T, kv store.KV) *Shared {
+	s := NewShared(SharedOptions{Key: "suspects", Store: kv, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry()})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = s.Run(ctx) }()
+	return s
+}
+
+func reportCrashes(s *Shared, id string, n int) {
+	for i := range n {
+		s.ReportCrash(Crash{ID: fmt.Sprint(id, i), At: time.Now().UnixMilli(), Candidates: []Candidate{begun(1, 2, uint64(100+i))}})
+		time.Sleep(time.Second)
+	}
+}
+
+// Guards against more than one trial of a blocked fingerprint in a fleet, against one that is
+// never tried again, and against one that stays blocked after its trial was answered.
+func TestTrials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		mem := memstore.New(memstore.Options{})
+		gates := []*Shared{newTestShared(t, mem), newTestShared(t, mem), newTestShared(t, mem)}
+		mirror := func() {
+			entry, err := mem.Get(t.Context(), "suspects")
+			c.Assert(err, qt.IsNil)
+			for _, g := range gates {
+				g.Apply(entry, entry.ModRevision > 0)
+			}
+		}
+		reportCrashes(gates[0], "a", 3)
+		mirror()
+		permitted := func() (n int) {
+			for _, g := range gates {
+				err := g.Check(t.Context(), []uint64{1, 2, 999})
+				if err == nil {
+					n++
+					continue
+				}
+				c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+				c.Assert(verdict.CodeOf(err), qt.Equals, verdict.CodeCrashesServers)
+			}
+			mirror()
+			return n
+		}
+		c.Assert(gates[1].Check(t.Context(), []uint64{1, 3, 999}), qt.IsNil)
+		for _, wait := range []time.Duration{15, 30, 60} {
+			time.Sleep(wait*time.Second - 2*time.Second)
+			c.Assert(permitted(), qt.Equals, 0)
+			time.Sleep(3 * time.Second)
+			c.Assert(permitted(), qt.Equals, 1)
+		}
+		gates[2].ReportSound([]uint64{1, 2, 999})
+		c.Assert(gates[2].Check(t.Context(), []uint64{1, 2, 999}), qt.IsNil)
+		time.Sleep(time.Second)
+		mirror()
+		c.Assert(permitted(), qt.Equals, 3)
+		c.Assert(gates[0].view.Load(), qt.IsNil)
+	})
+}
+
+// Guards against reports that are lost while the store is down or with its reply, and against
+// corrupt evidence that disables the registry.
+func TestReportsSurviveTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		faulty := faultstore.New(memstore.New(memstore.Options{}))
+		first, second := newTestShared(t, faulty), newTestShared(t, faulty)
+		result, err := faulty.Commit(t.Context(), store.Txn{Write: []store.Write{{Key: "suspects", Value: []byte("[")}}})
+		c.Assert(err, qt.IsNil)
+		second.Apply(store.Entry{Key: "suspects", Value: []byte("["), ModRevision: result.Revision}, true)
+		faulty.SetDown(true)
+		reportCrashes(first, "a", 2)
+		faulty.DropResponses(1)
+		faulty.SetDown(false)
+		time.Sleep(3 * time.Second)
+		reportCrashes(second, "b", 1)
+		c.Assert(second.Check(t.Context(), []uint64{2}), qt.IsNotNil)
+		entry, err := faulty.Get(t.Context(), "suspects")
+		c.Assert(err, qt.IsNil)
+		evidence, err := DecodeEvidence(entry.Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(evidence.Crashes, qt.HasLen, 3)
+		first.Apply(store.Entry{}, false) // a mirror that lags
+		c.Assert(first.Check(t.Context(), []uint64{2}), qt.IsNil)
+		first.Apply(entry, true)
+		c.Assert(first.Check(t.Context(), []uint64{2}), qt.IsNotNil)
+	})
+}
