Block the shared cause if crashes go on without the blocked part

Cause: if the first part of prompts crashes servers, the parts after it that occur often reached the threshold too and were blocked one by one before it, as the most specific ones. Rarer prompts with the first part went on. Change: a fingerprint that was passed over for a more specific one goes first at the next crash that no blocked fingerprint explains. Result: the case "the first part" blocked the second part before.

--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -11,6 +11,8 @@
 	// score grows with each crash that counts against the fingerprint.
 	score   int
 	blocked bool
+	// passedOver is how often a more specific fingerprint was blocked instead.
+	passedOver int
 	// crashes are the IDs of the crashes that count.
 	crashes []string
 	// lastAt and lastWeight are those of the last crash that counts.
@@ -106,24 +108,32 @@
 
 // cause returns the fingerprint to block for a crash that was counted, nil if there is none.
 // All less specific fingerprints of a request that crashes servers reach the threshold no
-// later than its cause, so it is the most specific one.
+// later than its cause, so it is the most specific one. But if one was blocked for that reason
+// and crashes go on without it, the cause is among those that were passed over then.
 func (d *decision) cause(crash Crash, sound map[uint64]SoundMark) *standing {
 	var cause *standing
-	best := -1
+	var causeDepth int
+	eligible := map[*standing]bool{}
 	for _, candidate := range crash.Candidates {
 		for depth, f := range candidate.Fingerprints {
-			if depth == len(candidate.Fingerprints)-1 {
-				depth = math.MaxInt // the whole request
-			}
 			s := d.standings[f]
 			if s == nil || sound[f].UpTo >= crash.Number || s.score < d.policy.threshold() {
 				continue
 			}
-			if depth > best || depth == best && s.score > cause.score {
-				cause, best = s, depth
+			if depth == len(candidate.Fingerprints)-1 {
+				depth = math.MaxInt // the whole request
+			}
+			eligible[s] = true
+			if cause == nil || cmp.Or(cmp.Compare(s.passedOver, cause.passedOver), cmp.Compare(depth, causeDepth), cmp.Compare(s.score, cause.score)) > 0 {
+				cause, causeDepth = s, depth
 			}
 		}
 	}
+	for s := range eligible {
+		if s != cause {
+			s.passedOver++
+		}
+	}
 	return cause
 }
 
--- a/internal/suspect/evidence_test.go
+++ b/internal/suspect/evidence_test.go
@@ -67,6 +67,7 @@
 		{"one request, then others", [][]Candidate{poison(100), poison(100), poison(100), poison(101), poison(102)}, []uint64{3, 100}},
 		{"the second part", [][]Candidate{one(begun(1, 2, 3, 100)), one(begun(1, 2, 4, 101)), one(begun(1, 2, 5, 102))}, []uint64{2}},
 		{"an innocent part in the first crashes", [][]Candidate{poison(100), poison(101), poison(102), one(begun(1, 2, 4, 103)), poison(104)}, []uint64{2, 3}},
+		{"the first part", [][]Candidate{one(begun(1, 20, 30, 100)), one(begun(1, 21, 30, 101)), one(begun(1, 20, 30, 102)), one(begun(1, 20, 31, 103))}, []uint64{1, 30}},
 		{"bystanders whose answers had not begun", repeat(4, begun(1, 2, 3, 100), waiting(7, 8, 101)), []uint64{100}},
 		{"not begun", repeat(4, waiting(1, 2, 100)), []uint64{}},
 		{"not begun, five crashes", repeat(5, waiting(1, 2, 100)), []uint64{100}},
