Count servers that crash together as one crash

Cause: if all servers crash within a second, the parts that most sound prompts share reached the threshold at moments 200 ms apart, and nothing was left to answer a request with them before the first trial 15 s later. A host whose clock was wrong made the crashes that it reported count each time. Change: crashes count once in 500 ms, and a crash that seems to precede the last one does not count. Where a part does crash servers, more of them crash before it is blocked.

--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -15,9 +15,11 @@
 	passedOver int
 	// crashes are the IDs of the crashes that count.
 	crashes []string
-	// lastAt and lastWeight are those of the last crash that counts.
+	// lastAt, in Unix milliseconds, and lastWeight are those of the last crash that counts.
 	lastAt     int64
 	lastWeight int
+	// behind means that the previous crash seemed to precede that one.
+	behind bool
 }
 
 // decision is the result of the evidence. It is the same in all processes that have the
@@ -93,14 +95,21 @@
 	}
 }
 
-// add counts a crash. Of crashes within spacing milliseconds only the heaviest counts.
+// add counts a crash. Of crashes within spacing milliseconds only the heaviest counts. A crash
+// that seems to precede the last one was reported by a host whose clock differs, so it does not
+// count either. After two of them in a row, the last one's clock was ahead and is not used any
+// more.
 func (s *standing) add(crash Crash, weight int, spacing int64) {
-	gap := crash.At - s.lastAt
-	if len(s.crashes) > 0 && max(gap, -gap) < spacing {
+	if gap := crash.At - s.lastAt; spacing > 0 && len(s.crashes) > 0 && gap < spacing {
 		s.score += max(weight-s.lastWeight, 0)
 		s.lastWeight = max(weight, s.lastWeight)
+		if gap < 0 && s.behind {
+			s.lastAt = crash.At
+		}
+		s.behind = gap < 0 && !s.behind
 		return
 	}
+	s.behind = false
 	s.score += weight
 	s.lastAt, s.lastWeight = crash.At, weight
 	s.crashes = append(s.crashes, crash.ID)
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -54,7 +54,7 @@
 // DefaultPolicy returns the policy of the gates.
 func DefaultPolicy() Policy {
 	return Policy{
-		BegunCrashes: 3, Crashes: 5, MinSpacing: 200 * time.Millisecond,
+		BegunCrashes: 3, Crashes: 5, MinSpacing: 500 * time.Millisecond,
 		FirstTrial: 15 * time.Second, MaxTrial: time.Hour, TTL: time.Hour, MaxCrashes: maxStoredCrashes,
 	}
 }
--- a/internal/suspect/evidence_test.go
+++ b/internal/suspect/evidence_test.go
@@ -95,14 +95,27 @@
 	c.Assert(blockedOf(e, DefaultPolicy()), qt.HasLen, 0)
 }
 
-// Guards against servers that crash together and count as several crashes, whatever the clocks
-// of the reporters say.
+// Guards against servers that crash together and count as several crashes, and against a wrong
+// clock that makes crashes count several times or not at all.
 func TestCrashesTogetherCountOnce(t *testing.T) {
-	e := Evidence{}
-	for i := range 9 {
-		e.addCrash(Crash{ID: fmt.Sprint(i), At: int64(i%2) * 150, Candidates: []Candidate{begun(1, uint64(100+i))}})
+	for _, test := range []struct {
+		name          string
+		step, skew    int64 // milliseconds between crashes, and of the clock of every fourth report
+		crashes, want int
+	}{
+		{"together", 10, 0, 40, 0}, {"together, a clock behind", 10, -7_200_000, 40, 0},
+		{"apart", 600, 0, 3, 1}, {"apart, a clock behind", 600, -7_200_000, 4, 1}, {"apart, a clock ahead", 600, 7_200_000, 5, 1},
+	} {
+		e := Evidence{}
+		for i := range test.crashes {
+			at := int64(10_000_000) + int64(i)*test.step
+			if i%4 == 1 {
+				at += test.skew
+			}
+			e.addCrash(Crash{ID: fmt.Sprint(i), At: at, Candidates: []Candidate{begun(1, uint64(100+i))}})
+		}
+		qt.Check(t, blockedOf(e, DefaultPolicy()), qt.HasLen, test.want, qt.Commentf("%s", test.name))
 	}
-	qt.Assert(t, blockedOf(e, DefaultPolicy()), qt.HasLen, 0)
 }
 
 // Guards against merges that depend on how often a report arrives, and against a block that is
--- a/internal/suspect/simulation_test.go
+++ b/internal/suspect/simulation_test.go
@@ -38,8 +38,9 @@
 	// deadly is the index of the part that crashes servers.
 	deadly int
 	// burst crashes six servers at a time without a cause, restart ends all gates at a random
-	// moment, silence makes the store silent for 5 s.
-	burst, restart, silence bool
+	// moment, silence makes the store silent for 5 s. outage crashes all servers within a
+	// second, on a day without poison requests.
+	burst, restart, silence, outage bool
 }
 
 // simRequest is a request in progress at a server.
@@ -335,7 +336,9 @@
 			}
 		}()
 	}
-	every(4*time.Second, 300, 400, func() { s.sendPoison(ctx) })
+	if !s.setting.outage {
+		every(4*time.Second, 300, 400, func() { s.sendPoison(ctx) })
+	}
 	every(0, 20, 40, func() { s.sendSound(ctx, "other", s.parts(9, 90+s.draw(5), 900+s.draw(50))) })
 	if s.setting.deadly > 0 {
 		every(0, 20, 40, func() { s.sendSound(ctx, "first part", s.parts(1, 30+s.draw(5), 400+s.draw(50))) })
@@ -354,6 +357,14 @@
 }
 
 func (s *simulation) injectFaults(t *testing.T) {
+	if s.setting.outage {
+		time.Sleep(10 * time.Second)
+		s.update(func() { s.fifthAt = time.Now() })
+		for _, server := range s.servers {
+			s.crash(server, false)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
 	if s.setting.burst {
 		for _, at := range []time.Duration{2, 5, 16} {
 			time.Sleep(at*time.Second - time.Since(s.start))
@@ -382,7 +393,7 @@
 func (s *simulation) check() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.crashes < DefaultPolicy().BegunCrashes {
+	if s.crashes < DefaultPolicy().BegunCrashes && !s.setting.outage {
 		return fmt.Errorf("only %d crashes, the bounds were not tested", s.crashes)
 	}
 	if s.latePoison > maxLatePoison {
@@ -403,7 +414,7 @@
 		for name, s := range map[string]setting{
 			"third part": {deadly: 2}, "second part": {deadly: 1}, "first part": {deadly: 0},
 			"servers crash together": {deadly: 2, burst: true}, "all restart": {deadly: 2, restart: true},
-			"store silent": {deadly: 2, silence: true},
+			"store silent": {deadly: 2, silence: true}, "outage": {deadly: 2, outage: true},
 		} {
 			s.gates = gates
 			t.Run(fmt.Sprintf("%d/%s", gates, name), func(t *testing.T) {
