Unblock nothing else when a bystander of crashes is answered

What callers would see: servers crash again by prompts that were blocked. Cause: an answer for a blocked fingerprint closed all crashes with it, also those that another blocked fingerprint explains. A part that was blocked beside the cause, after one crash of another kind, and then answered, unblocked the cause. Change: only an answer after a trial closes crashes. Without one the answered request may have been sent before the block. The refusal has the code quarantined (503 with Retry-After), since such requests are tried again.

--- a/internal/ctl/codes.go
+++ b/internal/ctl/codes.go
@@ -25,6 +25,7 @@
 	verdict.CodeNoServer:          {"No server of a pool that serves the target could be used.", "See \"status\" for agents that are not ready, and the host list for the pool's name."},
 	verdict.CodeDraining:          {"The router is shutting down.", "Nothing: callers retry at another router at once."},
 	verdict.CodeCrashesServers:    {"Servers crashed while they ran this request, so it is refused everywhere in the region for an hour.", "Find out what in the request crashes the engine."},
+	verdict.CodeQuarantined:       {"Servers crashed when they answered requests with a part of this prompt, or this very request, so no gate sends such requests but for a trial now and then.", "Find out what in the prompt crashes the engine; the log line \"fingerprint blocked\" of the gates names the servers."},
 	verdict.CodeDeadlineExceeded:  {"The request took longer than its deadline.", "Raise the answer \"deadline_seconds\" if the time is right, or find out why servers are slow."},
 	verdict.CodeCanceled:          {"The caller closed the connection.", "Nothing, unless callers give up because responses are slow."},
 	verdict.CodeServerLost:        {"The server or its agent was lost while it worked on the request.", "See \"status\"; the verdict says whether the caller may repeat it."},
--- a/internal/suspect/shared.go
+++ b/internal/suspect/shared.go
@@ -184,7 +184,7 @@
 }
 
 // Check returns nil if a request with these fingerprints may be sent to a server. Otherwise it
-// returns a *verdict.Error with verdict NotRun, code CodeCrashesServers and the time until the
+// returns a *verdict.Error with verdict NotRun, code CodeQuarantined and the time until the
 // next trial. If a trial is due it asks the store whether this request may be the trial.
 func (s *Shared) Check(ctx context.Context, fingerprints []uint64) error {
 	v := s.view.Load()
@@ -209,7 +209,7 @@
 		return nil
 	}
 	s.stats.refused.Inc(1)
-	return verdict.New(verdict.NotRun, verdict.CodeCrashesServers, "several servers crashed when they answered such requests").
+	return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "several servers crashed when they answered such requests").
 		WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
@@ -274,7 +274,10 @@
 	latest := s.merged.Crashes[len(s.merged.Crashes)-1]
 	for _, f := range fingerprints {
 		if entry, ok := v.suspects[f]; ok {
-			s.marks[f] = &pendingMark{after: latest.ID, closed: entry.blocked || s.unsentClosedMark(f)}
+			// Without a trial the answer may be to a request that was sent before the block. Then the
+			// crashes had another cause, which has not been removed.
+			tried := entry.blocked && s.trials[f].count > 0
+			s.marks[f] = &pendingMark{after: latest.ID, closed: tried || s.unsentClosedMark(f)}
 		}
 	}
 	s.refresh()
--- a/internal/verdict/problem.go
+++ b/internal/verdict/problem.go
@@ -51,6 +51,7 @@
 	CodeRateLimited:       {http.StatusTooManyRequests, "The workspace has reached a limit", apiRateLimit},
 	CodeNoServer:          {http.StatusServiceUnavailable, "No backend server is available", apiServer},
 	CodeDraining:          {http.StatusServiceUnavailable, "The router is shutting down", apiServer},
+	CodeQuarantined:       {http.StatusServiceUnavailable, "Such requests crashed several backend servers, they are tried again later", apiServer},
 	CodeCrashesServers:    {http.StatusUnprocessableEntity, "The request crashed several backend servers", apiInvalidRequest},
 	CodeDeadlineExceeded:  {http.StatusGatewayTimeout, "The deadline has passed", apiServer},
 	CodeCanceled:          {statusClientClosedRequest, "The caller disconnected", apiInvalidRequest},
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -74,16 +74,19 @@
 	CodeNoServer          Code = "no-server"
 	CodeDraining          Code = "draining"
 	CodeCrashesServers    Code = "crashes-servers"
-	CodeDeadlineExceeded  Code = "deadline-exceeded"
-	CodeCanceled          Code = "canceled"
-	CodeServerLost        Code = "server-lost"
-	CodeServerError       Code = "server-error"
-	CodeFenced            Code = "fenced"
-	CodeAnswerNotKept     Code = "answer-not-kept"
-	CodeNotReady          Code = "not-ready"
-	CodeInternal          Code = "internal"
-	CodeHomeUnreachable   Code = "home-unreachable"
-	CodeProtocolMismatch  Code = "protocol-mismatch"
+	// CodeQuarantined is the code of a gate for a request that is kept from all servers until the
+	// next trial; a router refuses such a request with CodeCrashesServers.
+	CodeQuarantined      Code = "quarantined"
+	CodeDeadlineExceeded Code = "deadline-exceeded"
+	CodeCanceled         Code = "canceled"
+	CodeServerLost       Code = "server-lost"
+	CodeServerError      Code = "server-error"
+	CodeFenced           Code = "fenced"
+	CodeAnswerNotKept    Code = "answer-not-kept"
+	CodeNotReady         Code = "not-ready"
+	CodeInternal         Code = "internal"
+	CodeHomeUnreachable  Code = "home-unreachable"
+	CodeProtocolMismatch Code = "protocol-mismatch"
 )
 
 // Error is an error with a verdict and a code.
