Keep requests that crash servers from all servers

Cause: gates kept no evidence of crashes, and sent a request whose server had crashed to the next one. Each gate alone sees too few crashes to decide in time. Change: a gate whose connection ends without an event checks whether the server still accepts connections, and reports a crash with the request's fingerprints to suspect.Shared. A request whose answer had begun is not sent on. Blocked requests are refused at once. The evidence is one record of the store, followed over the relays as the configuration is. The tests of quarantine_test.go need the change.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -27,6 +27,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/relay"
 	"github.com/monsoonworks/monsoonworks/internal/reserve"
 	"github.com/monsoonworks/monsoonworks/internal/settings"
+	"github.com/monsoonworks/monsoonworks/internal/suspect"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/internal/watchcache"
 	"github.com/monsoonworks/monsoonworks/platform"
@@ -72,8 +73,11 @@
 	gate         *gate.Gate
 	frontend     *gate.Frontend
 	readiness    net.Listener
+	suspects     *suspect.Shared
 	configMirror *mirror.Mirror
 	serverMirror *mirror.Mirror
+	// suspectMirror follows the evidence of crashes.
+	suspectMirror *mirror.Mirror
 }
 
 // relayAddresses are the addresses of all relays, and of those in the gate's failure domain.
@@ -96,10 +100,11 @@
 	g.reservations = reserve.NewClient(reserve.Options{
 		Gate: g.fallback.Owner(), QuotaServers: g.allRelays, Workspaces: g.workspaces, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
 	})
+	g.suspects = suspect.NewShared(suspect.SharedOptions{Key: suspectsKey, Store: st, Log: log, Metrics: registry})
 	percent, minRetries := retryLimits(s.Gate)
 	g.gate = gate.New(gate.Options{
 		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
-		Servers: g.servers, Reserver: g.reservations, Pool: g.pool, Protocol: platform.Protocol{}, Policy: placement.DefaultPolicy(),
+		Servers: g.servers, Reserver: g.reservations, Pool: g.pool, Quarantine: g.suspects, Protocol: platform.Protocol{}, Policy: placement.DefaultPolicy(),
 		RetryPercent: percent, MinRetries: minRetries,
 		MaxBufferedBytes: int64(s.Gate.MemoryMB) << 20 / bufferMemoryDivisor,
 		Overload:         g.overload, Log: log, Metrics: registry,
@@ -112,6 +117,7 @@
 		Prefix: platform.ServerPrefix, Store: watches, OnChange: g.applyServers, Log: log,
 		DeletionGrace: s.Gate.ServerReturn.Std(),
 	})
+	g.suspectMirror = mirror.New(mirror.Options{Prefix: suspectsKey, Store: watches, OnChange: g.applySuspects, Log: log})
 	return g, g.listen()
 }
 
@@ -172,6 +178,12 @@
 	g.updateRelays()
 }
 
+// applySuspects applies the evidence of crashes that gates share.
+func (g *Gate) applySuspects(state mirror.State) {
+	entry, ok := state.Entries[suspectsKey]
+	g.suspects.Apply(entry, ok)
+}
+
 // updateRelays recomputes the addresses of the relays. A relay runs on the host of each
 // backend server whose service has an engine; those of draining servers are left out. It is
 // called when the servers, the catalog or the relays' port change.
@@ -230,6 +242,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return g.configMirror.Run(ctx) })
 	group.Go(func() error { return g.serverMirror.Run(ctx) })
+	group.Go(func() error { return g.suspectMirror.Run(ctx) })
+	group.Go(func() error { return g.suspects.Run(ctx) })
 	group.Go(func() error { return g.fallback.Run(ctx) })
 	group.Go(func() error { return g.reservations.Run(ctx) })
 	group.Go(func() error { return g.closeExpired(ctx) })
@@ -265,9 +279,9 @@
 }
 
 // Ready reports whether the gate can serve callers: it has a configuration, its server
-// entries are synced, and it is neither draining nor overloaded.
+// entries and the evidence of crashes are synced, and it is neither draining nor overloaded.
 func (g *Gate) Ready() bool {
-	return g.gate.Catalog() != nil && g.serverMirror.Synced() && !g.gate.Draining() && !g.overload.Overloaded()
+	return g.gate.Catalog() != nil && g.serverMirror.Synced() && g.suspectMirror.Synced() && !g.gate.Draining() && !g.overload.Overloaded()
 }
 
 // serveReady answers the load balancer's readiness checks.
--- a/internal/daemon/quota.go
+++ b/internal/daemon/quota.go
@@ -13,6 +13,9 @@
 // quotaPrefix is the store key prefix of quota records and checkpoints.
 const quotaPrefix = "mw/"
 
+// suspectsKey is the store key of the evidence of crashes, and the prefix to watch for it.
+const suspectsKey = "mw/suspects"
+
 // newBootClock returns the boot clock of the host and logs its reading.
 func newBootClock(log *slog.Logger) bootclock.Clock {
 	clock, err := bootclock.New()
--- a/internal/daemon/relay.go
+++ b/internal/daemon/relay.go
@@ -50,7 +50,7 @@
 	calls, r.cancelCalls = context.WithCancel(context.Background())
 	r.quotaServer = reserve.NewServer(calls, r.quotas, registry, log)
 	r.watches = watchcache.NewServer(calls, watchcache.ServerOptions{
-		Prefixes: []string{platform.ConfigPrefix, platform.ServerPrefix},
+		Prefixes: []string{platform.ConfigPrefix, platform.ServerPrefix, suspectsKey},
 		Store:    platform.NewStore(platform.StoreOptions{Address: s.Relay.Store, PollWait: watchcache.PollWait, Metrics: registry}),
 		Clock:    clock, Log: log, Metrics: registry,
 	})
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -61,6 +61,8 @@
 	pending *pendingResponse
 	// next is the pending response that continues, or pending itself.
 	next *pendingResponse
+	// crashed means that the request has probably crashed the server.
+	crashed bool
 	// refusedOn is the connection on which the server refused the request, nil if it did not.
 	refusedOn *upstream.Conn
 }
@@ -128,6 +130,9 @@
 // chooseNext picks the server for the next attempt, nil if there is none, no time or no retry
 // budget left.
 func (p *proxyRequest) chooseNext(retryBudget *admission.RetryBudget) (*fleet.Server, placement.Reason) {
+	if p.attemptsSent > 0 && p.quarantined() != nil {
+		return nil, ""
+	}
 	server, reason := p.choose()
 	if server == nil || time.Until(p.deadline) < minRemaining {
 		return nil, ""
@@ -142,7 +147,7 @@
 // canRetry reports whether the request may be sent to another server after an
 // attempt with the given outcome.
 func (p *proxyRequest) canRetry(out outcome) bool {
-	if p.attemptsSent >= p.route.MaxAttempts || p.r.Context().Err() != nil {
+	if p.attemptsSent >= p.route.MaxAttempts || out.crashed || p.r.Context().Err() != nil {
 		return false
 	}
 	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent() && p.canResume()
@@ -204,6 +209,7 @@
 	switch {
 	case out.pending == nil:
 		attempt.End(out.result, now)
+		out.crashed = p.causedCrash(attempt, out.err)
 	case !out.pending.stalled:
 		record.Result = resultPending
 	}
@@ -463,6 +469,8 @@
 	ran := verdict.Ran
 	if info.NotRun {
 		ran = verdict.NotRun
+	} else {
+		p.reportSound()
 	}
 	return outcome{done: true, result: fleet.Answered, verdict: ran}
 }
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -9,12 +9,14 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 
@@ -22,7 +24,9 @@
 	"github.com/monsoonworks/monsoonworks/internal/fleet"
 	"github.com/monsoonworks/monsoonworks/internal/placement"
 	"github.com/monsoonworks/monsoonworks/internal/prepaid"
+	"github.com/monsoonworks/monsoonworks/internal/suspect"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
+	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
 // testProtocol uses its own header names, so that the tests do not depend on a
@@ -45,9 +49,17 @@
 		}
 		info.TokensDeclared, info.PromptTokens, info.MaxOutputTokens = true, 100, maxOutput
 	}
+	if text := h.Get("Parts"); text != "" {
+		for _, id := range strings.Split(text, ",") {
+			info.Parts = append(info.Parts, placement.Part{ID: partID(id), Tokens: 10})
+		}
+	}
 	return info, nil
 }
 
+// partID returns the ID of a part of a prompt.
+func partID(name string) uint64 { return xxhash.Sum64String(name) }
+
 func (testProtocol) ForwardHeader(caller http.Header, info ForwardInfo) http.Header {
 	h := caller.Clone()
 	h.Del("Key")
@@ -86,6 +98,37 @@
 	return nil, r.refuse
 }
 
+// fakeQuarantine records reports and refuses the fingerprints in blocked.
+type fakeQuarantine struct {
+	mu      sync.Mutex
+	blocked []uint64
+	crashes []suspect.Crash
+	sound   [][]uint64
+}
+
+func (q *fakeQuarantine) Check(_ context.Context, fingerprints []uint64) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, f := range fingerprints {
+		if slices.Contains(q.blocked, f) {
+			return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "blocked").WithRetryAfter(time.Second)
+		}
+	}
+	return nil
+}
+
+func (q *fakeQuarantine) ReportCrash(crash suspect.Crash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.crashes = append(q.crashes, crash)
+}
+
+func (q *fakeQuarantine) ReportSound(fingerprints []uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sound = append(q.sound, fingerprints)
+}
+
 type neverOverloaded struct{}
 
 func (neverOverloaded) Overloaded() bool { return false }
@@ -138,14 +181,15 @@
 
 // fixture is a gate on a loopback listener with fake backend servers.
 type fixture struct {
-	c        *qt.C
-	gate     *Gate
-	table    *fleet.Table
-	reserver *fakeReserver
-	servers  []*fakeServer
-	frontend *Frontend
-	url      string
-	client   *http.Client
+	c          *qt.C
+	gate       *Gate
+	table      *fleet.Table
+	reserver   *fakeReserver
+	quarantine *fakeQuarantine
+	servers    []*fakeServer
+	frontend   *Frontend
+	url        string
+	client     *http.Client
 }
 
 // testRoutes returns the routes of the fixture. Tests select a route by its path
@@ -174,12 +218,12 @@
 
 func newFixture(t testing.TB, scripts ...script) *fixture {
 	c := qt.New(t)
-	f := &fixture{c: c, table: fleet.NewTable(), reserver: &fakeReserver{}, client: &http.Client{Transport: &http.Transport{}}}
+	f := &fixture{c: c, table: fleet.NewTable(), quarantine: &fakeQuarantine{}, reserver: &fakeReserver{}, client: &http.Client{Transport: &http.Transport{}}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	registry := metrics.NewRegistry()
 	f.gate = New(Options{
 		Domain: "d0", Region: "r", Regions: map[string]string{"d0": "r"}, Servers: f.table, Reserver: f.reserver,
-		Pool: upstream.NewPool(nil, registry), Protocol: testProtocol{}, Policy: placement.DefaultPolicy(),
+		Pool: upstream.NewPool(nil, registry), Quarantine: f.quarantine, Protocol: testProtocol{}, Policy: placement.DefaultPolicy(),
 		RetryPercent: 50, MinRetries: 20, MaxBufferedBytes: 1 << 20, Overload: neverOverloaded{}, Log: log, Metrics: registry,
 	})
 	f.gate.SetCatalog(testCatalog(1, testRoutes()))
@@ -218,6 +262,16 @@
 	return f
 }
 
+// fingerprintsOf returns the fingerprints of a request that the method request sends.
+func (f *fixture) fingerprintsOf(path, parts string) []uint64 {
+	before := len(f.quarantine.sound)
+	f.c.Assert(f.request("POST", path, "Parts", parts).status, qt.Equals, http.StatusOK)
+	f.servers[0].mu.Lock()
+	f.servers[0].requests = nil
+	f.servers[0].mu.Unlock()
+	return f.quarantine.sound[before]
+}
+
 // callResult is what a caller received.
 type callResult struct {
 	status  int
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/monsoonworks/monsoonworks/internal/admission"
 	"github.com/monsoonworks/monsoonworks/internal/catalog"
@@ -43,8 +44,10 @@
 	Servers  *fleet.Table
 	Reserver Reserver
 	Pool     *upstream.Pool
-	Protocol Protocol
-	Policy   placement.Policy
+	// Quarantine refuses requests that crash servers.
+	Quarantine Quarantine
+	Protocol   Protocol
+	Policy     placement.Policy
 	// RetryPercent is the number of retries that are allowed per 100 requests to a
 	// service. MinRetries is the number that is always allowed. Both refer to this gate
 	// and to the time window of admission.RetryBudget.
@@ -69,6 +72,8 @@
 	draining   atomic.Bool
 	inProgress atomic.Int64
 	memory     memoryLimit
+	// crashChecks merges concurrent checks of the same server, by its ID.
+	crashChecks singleflight.Group
 
 	mu           sync.Mutex
 	retryBudgets map[string]*admission.RetryBudget // by service
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -26,6 +26,7 @@
 	streamsResumed      metrics.Counter
 	streamsBroken       metrics.Counter
 	continued           metrics.Counter
+	serverCrashes       metrics.Counter
 	callersDisconnected metrics.Counter
 	events              metrics.Counter
 	firstByte           metrics.Timer
@@ -46,7 +47,7 @@
 	return stats{
 		registry: r, requests: counter("requests"), attempts: counter("attempts"), retries: counter("retries"),
 		retriesDenied: counter("retries_denied"), mismatchedResponses: counter("foreign_answers"), streamsResumed: counter("streams_resumed"),
-		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), callersDisconnected: counter("callers_left"), events: counter("events"),
+		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), serverCrashes: counter("server_crashes"), callersDisconnected: counter("callers_left"), events: counter("events"),
 		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"), membership: newMembershipStats(r),
 	}
 }
--- /dev/null
+++ b/internal/gate/quarantine_test.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/monsoonworks/monsoonworks/internal/suspect"
+)
+
+// crash ends a connection as a server does that has crashed: its listener is closed first.
+func (f *fixture) crash(server int, conn net.Conn) bool {
+	_ = f.servers[server].listener.Close()
+	return resetConn(0, nil, conn)
+}
+
+// reportedCrashes waits until n crashes have been reported.
+func (f *fixture) reportedCrashes(n int) []suspect.Crash {
+	f.c.Helper()
+	deadline := time.Now().Add(3 * time.Second)
+	for {
+		f.quarantine.mu.Lock()
+		crashes := append([]suspect.Crash(nil), f.quarantine.crashes...)
+		f.quarantine.mu.Unlock()
+		if len(crashes) >= n || time.Now().After(deadline) {
+			f.c.Assert(crashes, qt.HasLen, n)
+			return crashes
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a request that crashes a server and is then sent to the next one.
+func TestCrashingRequestNotSentOn(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		time.Sleep(20 * time.Millisecond)
+		return f.crash(0, conn)
+	}, resumeStream)
+	got := f.request("POST", "/resume/", "Parts", "a,b,own")
+	f.c.Assert(got.status, qt.Equals, 502)
+	f.c.Assert(got.body, qt.Contains, "unknown")
+	f.c.Assert(f.servers[1].received(), qt.HasLen, 0)
+	crashes := f.reportedCrashes(1)
+	f.c.Assert(crashes[0].ID, qt.Equals, "llms0@0")
+	f.c.Assert(crashes[0].Candidates, qt.HasLen, 1)
+	f.c.Assert(crashes[0].Candidates[0].Begun, qt.IsTrue)
+	f.c.Assert(crashes[0].Candidates[0].Fingerprints, qt.HasLen, 3)
+	f.c.Assert(crashes[0].Candidates[0].Fingerprints[:2], qt.DeepEquals, []uint64{partID("a"), partID("b")})
+}
+
+// Guards against taking a request that only waited at a crashing server for the cause, and against
+// giving it up.
+func TestWaitingRequestSentOn(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, func(_ int, _ *http.Request, conn net.Conn) bool { return f.crash(0, conn) }, resumeStream)
+	got := f.request("POST", "/resume/", "Parts", "a,own")
+	f.c.Assert(got.err, qt.IsNil)
+	f.c.Assert(got.body, qt.Equals, formatEvents(1, 5))
+	f.c.Assert(f.reportedCrashes(1)[0].Candidates[0].Begun, qt.IsFalse)
+	f.quarantine.mu.Lock()
+	defer f.quarantine.mu.Unlock()
+	f.c.Assert(f.quarantine.sound, qt.HasLen, 1)
+	f.c.Assert(f.quarantine.sound[0][0], qt.Equals, partID("a"))
+}
+
+// Guards against counting a broken connection of a living server, or a stream with events, as a crash
+// that the request caused.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	f := newFixture(t, resetConn, resumeStream)
+	f.c.Assert(f.request("POST", "/resume/").err, qt.IsNil)
+	var g *fixture
+	g = newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		writeEvents(conn, 1, 2)
+		time.Sleep(20 * time.Millisecond)
+		return g.crash(0, conn)
+	}, resumeStream)
+	got := g.request("POST", "/resume/")
+	g.c.Assert(got.err, qt.IsNil)
+	g.c.Assert(got.body, qt.Equals, formatEvents(1, 5))
+	time.Sleep(100 * time.Millisecond)
+	f.reportedCrashes(0)
+	g.reportedCrashes(0)
+}
+
+// Guards against sending a request that is blocked, whole or by a part of its prompt, and against
+// blocking it by its last part, which is its own.
+func TestQuarantinedRequestRefused(t *testing.T) {
+	f := newFixture(t, respondOK)
+	for name, blocked := range map[string]uint64{
+		"first part": partID("a"), "second part": partID("b"),
+		"whole request": f.fingerprintsOf("/safe/", "a,b,own")[2],
+	} {
+		f.quarantine.blocked = []uint64{blocked}
+		got := f.request("POST", "/safe/", "Parts", "a,b,own")
+		f.c.Assert(got.status, qt.Equals, 503, qt.Commentf("%s", name))
+		f.c.Assert(got.body, qt.Equals, "quarantined (not-run)\n")
+		f.c.Assert(got.header.Get("Retry-After"), qt.Equals, "1.000")
+	}
+	f.c.Assert(f.servers[0].received(), qt.HasLen, 0)
+	f.quarantine.blocked = []uint64{partID("own")}
+	f.c.Assert(f.request("POST", "/safe/", "Parts", "a,b,own").status, qt.Equals, 200)
+	f.c.Assert(f.request("POST", "/safe/", "Parts", "a,b").status, qt.Equals, 200)
+}
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -58,6 +58,8 @@
 	// deadline is when the gate stops waiting for servers and responds to the caller.
 	deadline time.Time
 
+	fingerprintList    []uint64 // see fingerprints, nil until they are computed
+	soundReported      bool
 	attemptedServerIDs []string // IDs of the servers that were chosen
 	attemptsSent       int      // attempts that got a connection to send the request
 	mayHaveRun         bool     // an attempt ended with another verdict than NotRun
@@ -88,6 +90,11 @@
 		p.log()
 		return
 	}
+	if err := p.quarantined(); err != nil {
+		p.refuse(err)
+		p.log()
+		return
+	}
 	reservation, err := p.reserve()
 	if err != nil {
 		p.refuse(err)
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -35,6 +35,8 @@
 	// lastEventID is the ID of the last event, empty if it has none.
 	lastEventID string
 	eventCount  int
+	// answeredBy is the attempt whose server sent the last event, nil if there was none.
+	answeredBy *fleet.Attempt
 	// commentBytes is the size of the comments since the last event.
 	commentBytes int
 }
@@ -136,7 +138,8 @@
 		return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: err}, false
 	}
 	if count > 0 {
-		r.stalled, r.waited = false, false
+		p.reportSound()
+		p.stream.answeredBy, r.stalled, r.waited = r.attempt, false, false
 	}
 	// Comments and parts of an event do not extend the deadline: a stalled stream can
 	// go on sending them.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -99,6 +100,17 @@
 	return newConn(p, address, conn), nil
 }
 
+// Listening reports whether a server accepts a connection, false only if it refuses: a server that
+// cannot be reached may be alive. The connection is kept for later requests.
+func (p *Pool) Listening(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address, 0)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.putIdle(c)
+	return true
+}
+
 // popIdle removes and returns the idle connection that was used last, nil if there
 // is none. It closes connections past their idle time.
 func (p *Pool) popIdle(address string) *Conn {
