--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/monsoonworks/monsoonworks/internal/membership"
 )
 
 // serviceSampleWeight is the weight of a new sample in the moving averages of a
@@ -53,6 +55,7 @@
 // methods are safe for concurrent use. Lock order: a Server's mutex before that of
 // its serviceStats.
 type Table struct {
+	members   *membership.Set                      // outlasts entries that change or expire
 	stats     map[string]*serviceStats             // by service
 	servers   map[string]*Server                   // by ID, including draining servers
 	byService atomic.Pointer[map[string][]*Server] // without draining servers
@@ -60,7 +63,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{stats: make(map[string]*serviceStats), servers: make(map[string]*Server)}
+	t := &Table{members: membership.NewSet(), stats: make(map[string]*serviceStats), servers: make(map[string]*Server)}
 	t.byService.Store(&map[string][]*Server{})
 	return t
 }
@@ -69,6 +72,22 @@
 // be changed.
 func (t *Table) Servers(service string) []*Server { return (*t.byService.Load())[service] }
 
+// RestEnd returns the earliest time from now on at which a server of the service may get a
+// request, as far as is known, and whether any of the servers rests.
+func (t *Table) RestEnd(service string, now time.Time) (earliest time.Time, resting bool) {
+	for _, s := range t.Servers(service) {
+		at, ok := s.usableAt(now)
+		if !ok {
+			continue
+		}
+		resting = resting || !s.member.Accepts(now)
+		if earliest.IsZero() || at.Before(earliest) {
+			earliest = at
+		}
+	}
+	return earliest, resting
+}
+
 // MeanTimeToFirstByte returns the moving average of the time to first byte at the
 // servers of a service, 0 if unknown.
 func (t *Table) MeanTimeToFirstByte(service string, class PromptClass) time.Duration {
@@ -100,12 +119,15 @@
 }
 
 // Apply replaces the entries and returns the differences. A server that was restarted
-// or whose draining state has changed starts with no health history.
+// or whose draining state has changed starts with no health history. What a server has said
+// of its membership holds until its start time changes.
 func (t *Table) Apply(entries []Entry) []Change {
 	var changes []Change
 	servers := make(map[string]*Server, len(entries))
 	byService := make(map[string][]*Server)
+	listed := make(map[membership.Instance]bool, len(entries))
 	for _, e := range entries {
+		listed[e.instance()] = true
 		s, kind := t.resolve(e)
 		if kind != "" {
 			changes = append(changes, Change{e, kind})
@@ -121,6 +143,7 @@
 		}
 	}
 	t.servers = servers
+	t.members.EndListing(listed, time.Now())
 	for _, list := range byService {
 		assignRanks(list)
 	}
@@ -151,19 +174,20 @@
 		stats = &serviceStats{}
 		t.stats[e.Service] = stats
 	}
+	member := t.members.Member(e.instance())
 	old := t.servers[e.ID]
 	switch {
 	case old == nil:
-		return newServer(e, stats), "added"
+		return newServer(e, stats, member), "added"
 	case old.Revision == e.Revision:
 		return old, ""
 	case old.StartedUnixMilli != e.StartedUnixMilli || old.Address != e.Address || old.Service != e.Service:
-		return newServer(e, stats), "restarted"
+		return newServer(e, stats, member), "restarted"
 	case old.Draining == e.Draining:
 		return old, ""
 	case e.Draining:
-		return newServer(e, stats), "draining"
+		return newServer(e, stats, member), "draining"
 	default:
-		return newServer(e, stats), "changed"
+		return newServer(e, stats, member), "changed"
 	}
 }
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -71,7 +71,8 @@
 }
 
 // Router chooses servers. It is safe for concurrent use. Lock order: placementMu, mu,
-// table.mu, server.mu, pool.mu. No lock is held during I/O.
+// table.mu, server.mu, then pool.mu or that of a membership.Member. No lock is held during
+// I/O.
 type Router struct {
 	Options
 	linkLimiter        atomic.Pointer[rate.Limiter]
@@ -166,7 +167,7 @@
 	var once sync.Once
 	return Choice{Server: host, Session: session, Reason: reason, Done: func(res Result) {
 		once.Do(func() {
-			s.recordResult(time.Now(), res)
+			s.recordAttempt(time.Now(), session.Peer.Boot, res)
 			if host.Region != r.Region {
 				r.chargeLink(res.Bytes)
 			}
