--- a/internal/gate/resumed_stream_test.go
+++ b/internal/gate/resumed_stream_test.go
@@ -69,11 +69,7 @@
 	errorText   = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nfailed\r\n\r\n"
 )
 
-var (
-	allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
-	// framingsWithoutReset leaves out a reset, which upstream.Conn.Await does not pass on.
-	framingsWithoutReset = []framing{withLength, inChunks, untilClose, lengthTooLong, noLastChunk}
-)
+var allFramings = []framing{withLength, inChunks, untilClose, untilReset, lengthTooLong, noLastChunk}
 
 // brokenFor fails unless a stream that broke off after three events, with the given response as its
 // continuation, ends as broken, after one more event at most.
@@ -161,7 +157,7 @@
 		"CRLF":        strings.ReplaceAll(formatEvents(4, 6), "\n", "\r\n"),
 		"retry":       "retry: 100\n\n" + formatEvents(4, 6),
 	} {
-		for _, end := range framingsWithoutReset {
+		for _, end := range allFramings {
 			t.Run(name+", "+string(end), func(t *testing.T) {
 				t.Parallel()
 				f := newFixture(t, breakAfter(3), respondWith(200, streamHead, body, end))
