Log an odd server entry once a revision

Cause: applyServers decodes all entries at each batch of changes, and logged each that it could not decode at every batch: 300 lines for 300 batches. Change: the gate remembers the revisions of the entries that it has logged.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -78,6 +78,9 @@
 	serverMirror *mirror.Mirror
 	// suspectMirror follows the evidence of crashes.
 	suspectMirror *mirror.Mirror
+	// invalidServers holds the revisions of the server entries that could not be decoded, by
+	// key. Only applyServers uses it.
+	invalidServers map[string]int64
 }
 
 // relayAddresses are the addresses of all relays, and of those in the gate's failure domain.
@@ -160,17 +163,22 @@
 }
 
 // applyServers replaces the server table with the store's entries. Entries that cannot be
-// decoded are logged and ignored.
+// decoded are logged once a revision and ignored.
 func (g *Gate) applyServers(state mirror.State) {
 	entries := make([]fleet.Entry, 0, len(state.Entries))
+	invalid := make(map[string]int64)
 	for _, e := range state.Entries {
 		entry, err := platform.DecodeServer(e)
 		if err != nil {
-			g.log.Warn("invalid server entry ignored", "key", e.Key, "revision", e.ModRevision, "error", err)
+			if g.invalidServers[e.Key] != e.ModRevision {
+				g.log.Warn("invalid server entry ignored", "key", e.Key, "revision", e.ModRevision, "error", err)
+			}
+			invalid[e.Key] = e.ModRevision
 			continue
 		}
 		entries = append(entries, entry)
 	}
+	g.invalidServers = invalid
 	for _, change := range g.servers.Apply(entries) {
 		g.log.Info("server "+change.Kind, "server", change.Entry.ID, "service", change.Entry.Service,
 			"address", change.Entry.Address, "domain", change.Entry.Domain, "revision", change.Entry.Revision)
