Check for crashes apart from requests, and claim a trial last

What callers could see: crashes that no gate reported, so that servers went on crashing; a trial that was used up by a request that was then refused for its balance; and a sound request of a server that was killed got a 502 instead of another attempt. Cause: a check for a crash used the context of one request, which ended the checks of others with it; it was made once, although a server can end its connections before it stops listening; none was made for a caller that had left or a pending response that was dropped; the quarantine was checked before the reservation; and a request whose answer had begun was never sent on. Change: checks belong to no request and are repeated once after 100 ms, also in those cases; the quarantine is checked after the reservation; a request is kept from a second server only if a crash counts against it already. Result: TestRequestOfFirstCrashSentOn needs the change; it and the other tests of quarantine_test.go pass under the race detector.

--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -102,8 +102,10 @@
 type fakeQuarantine struct {
 	mu      sync.Mutex
 	blocked []uint64
-	crashes []suspect.Crash
-	sound   [][]uint64
+	// suspected holds fingerprints with crashes that do not suffice to block them.
+	suspected []uint64
+	crashes   []suspect.Crash
+	sound     [][]uint64
 }
 
 func (q *fakeQuarantine) Check(_ context.Context, fingerprints []uint64) error {
@@ -117,6 +119,12 @@
 	return nil
 }
 
+func (q *fakeQuarantine) Suspected(fingerprints []uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.ContainsFunc(fingerprints, func(f uint64) bool { return slices.Contains(q.suspected, f) })
+}
+
 func (q *fakeQuarantine) ReportCrash(crash suspect.Crash) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -15,6 +15,9 @@
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
+// crashRecheckDelay is the time from the end of a connection to the second check for a crash.
+const crashRecheckDelay = 100 * time.Millisecond
+
 // Quarantine keeps requests that crash servers from all servers. suspect.Shared implements it.
 type Quarantine interface {
 	// Check returns nil if a request with these fingerprints may be sent, or a *verdict.Error
@@ -22,6 +25,8 @@
 	Check(ctx context.Context, fingerprints []uint64) error
 	// ReportCrash reports a crash of a server with a request in progress.
 	ReportCrash(crash suspect.Crash)
+	// Suspected reports whether a crash counts against one of the fingerprints.
+	Suspected(fingerprints []uint64) bool
 	// ReportSound reports that a server has begun to answer a request and lives.
 	ReportSound(fingerprints []uint64)
 }
@@ -78,23 +83,33 @@
 	}
 }
 
-// causedCrash reports a crash if the server of a failed attempt no longer accepts connections, and
-// returns whether the request has probably caused it: its answer had begun, with no event so far. Only
-// then the check is made at once. A server that has sent an event was not crashed by the request.
+// causedCrash reports a crash if the server of a failed attempt no longer accepts connections. It
+// returns whether the request must not be sent to another server: its answer had begun, with no event
+// so far, and it was suspected before. Only if its answer had begun the check is made at once. A server
+// that has sent an event was not crashed by the request.
 func (p *proxyRequest) causedCrash(attempt *fleet.Attempt, err error) bool {
-	if !connectionEnded(err) || p.r.Context().Err() != nil || p.stream.answeredBy == attempt {
+	if !connectionEnded(err) || p.stream.answeredBy == attempt {
 		return false
 	}
-	begun := attempt.TimeToFirstByte() > 0
-	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Begun: begun}
-	if begun {
-		return p.gate.reportIfCrashed(p.r.Context(), attempt.Server(), candidate)
+	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Begun: attempt.TimeToFirstByte() > 0}
+	suspected := p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
+	if candidate.Begun && p.gate.reportIfCrashed(attempt.Server(), candidate) {
+		return suspected
 	}
-	// The request may be retried meanwhile, so its context must not end the check.
-	go p.gate.reportIfCrashed(context.WithoutCancel(p.r.Context()), attempt.Server(), candidate)
+	go p.gate.recheckCrash(attempt.Server(), candidate)
 	return false
 }
 
+// recheckCrash checks for a crash at once and once more, because a server can end its connections
+// before it stops listening.
+func (g *Gate) recheckCrash(s *fleet.Server, candidate suspect.Candidate) {
+	if !candidate.Begun && g.reportIfCrashed(s, candidate) {
+		return
+	}
+	time.Sleep(crashRecheckDelay)
+	g.reportIfCrashed(s, candidate)
+}
+
 // connectionEnded reports whether an attempt failed because the server closed or reset its
 // connection.
 func connectionEnded(err error) bool {
@@ -102,9 +117,12 @@
 }
 
 // reportIfCrashed reports a crash of a server with a request in progress, unless the server still
-// accepts connections. It reports whether the server has crashed.
-func (g *Gate) reportIfCrashed(ctx context.Context, s *fleet.Server, candidate suspect.Candidate) bool {
-	listening, _, _ := g.crashChecks.Do(s.ID, func() (any, error) { return g.opts.Pool.Listening(ctx, s.Address), nil })
+// accepts connections. It reports whether the server has crashed. Concurrent checks of a server are
+// merged, so that the check belongs to no request.
+func (g *Gate) reportIfCrashed(s *fleet.Server, candidate suspect.Candidate) bool {
+	listening, _, _ := g.crashChecks.Do(s.ID, func() (any, error) {
+		return g.opts.Pool.Listening(context.Background(), s.Address), nil
+	})
 	if listening == true {
 		return false
 	}
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -41,6 +41,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return f.crash(0, conn)
 	}, resumeStream)
+	f.quarantine.suspected = []uint64{partID("b")}
 	got := f.request("POST", "/resume/", "Parts", "a,b,own")
 	f.c.Assert(got.status, qt.Equals, 502)
 	f.c.Assert(got.body, qt.Contains, "unknown")
@@ -107,3 +108,19 @@
 	f.c.Assert(f.request("POST", "/safe/", "Parts", "a,b,own").status, qt.Equals, 200)
 	f.c.Assert(f.request("POST", "/safe/", "Parts", "a,b").status, qt.Equals, 200)
 }
+
+// Guards against giving up a request whose server crashed for the first time, which may be for another
+// reason, and against missing the crash because the server ends its connections first.
+func TestRequestOfFirstCrashSentOn(t *testing.T) {
+	var f *fixture
+	f = newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		time.Sleep(20 * time.Millisecond)
+		time.AfterFunc(20*time.Millisecond, func() { _ = f.servers[0].listener.Close() })
+		return resetConn(0, r, conn)
+	}, resumeStream)
+	got := f.request("POST", "/resume/", "Parts", "a,own")
+	f.c.Assert(got.err, qt.IsNil)
+	f.c.Assert(got.body, qt.Equals, formatEvents(1, 5))
+	f.c.Assert(f.reportedCrashes(1)[0].Candidates[0].Begun, qt.IsTrue)
+}
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -90,12 +90,13 @@
 		p.log()
 		return
 	}
-	if err := p.quarantined(); err != nil {
-		p.refuse(err)
-		p.log()
-		return
-	}
 	reservation, err := p.reserve()
+	if err == nil {
+		// The last check, because it may use up a trial.
+		if err = p.quarantined(); err != nil && reservation != nil {
+			reservation.Settle(0)
+		}
+	}
 	if err != nil {
 		p.refuse(err)
 		p.log()
--- a/internal/gate/silent.go
+++ b/internal/gate/silent.go
@@ -156,6 +156,7 @@
 		if c.response == nil || c.err != nil {
 			c.conn.Discard()
 			c.attempt.End(fleet.ConnectionFailed, time.Now())
+			p.causedCrash(c.attempt, errors.Join(err, c.err))
 			p.pending = slices.DeleteFunc(p.pending, func(o *pendingResponse) bool { return o == c })
 		}
 	}
--- a/internal/suspect/shared.go
+++ b/internal/suspect/shared.go
@@ -213,6 +213,15 @@
 		WithRetryAfter(min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
+// Suspected reports whether a crash counts against one of the fingerprints.
+func (s *Shared) Suspected(fingerprints []uint64) bool {
+	v := s.view.Load()
+	return v != nil && slices.ContainsFunc(fingerprints, func(f uint64) bool {
+		_, ok := v.suspects[f]
+		return ok
+	})
+}
+
 // ReportCrash reports a crash. It takes effect in this process at once and is sent to the
 // store in the background.
 func (s *Shared) ReportCrash(crash Crash) {
