--- a/devel/loadgen/loadgen.go
+++ b/devel/loadgen/loadgen.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/monsoonworks/monsoonworks/devel/history"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 // Endpoint is the name and base URL of a router.
@@ -151,7 +152,7 @@
 	backoff := minBackoff
 	for n := range g.opts.MaxTries {
 		r.Tries = append(r.Tries, g.sendOnce(ctx, &r, &c, g.opts.Routers[routerOrder[n%len(routerOrder)]]))
-		if !shouldRetry(&r) || !sleep(ctx, backoff) {
+		if !shouldRetry(&r) || !wait.Sleep(ctx, backoff) {
 			break
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -223,15 +224,3 @@
 	}
 	return t
 }
-
-// sleep waits for d and reports whether it did so without ctx being canceled.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -293,12 +293,15 @@
 // added to the default headers or replace them.
 func (f *fixture) request(method, path string, header ...string) callResult {
 	f.c.Helper()
-	r, err := http.NewRequest(method, f.url+path, strings.NewReader("the body"))
+	return f.requestBody(method, path, "the body", header...)
+}
+
+// requestBody is request with another body.
+func (f *fixture) requestBody(method, path, body string, header ...string) callResult {
+	f.c.Helper()
+	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
 	f.c.Assert(err, qt.IsNil)
-	r.Host = "h"
-	r.Header.Set("Id", "id-1")
-	r.Header.Set("Key", "k")
-	r.Header.Set("Tokens", "50")
+	r.Host, r.Header = "h", http.Header{"Id": {"id-1"}, "Key": {"k"}, "Tokens": {"50"}}
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
@@ -308,8 +311,8 @@
 		return callResult{err: err, elapsed: time.Since(started)}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return callResult{status: response.StatusCode, header: response.Header, body: string(body), err: err, elapsed: time.Since(started)}
+	text, err := io.ReadAll(response.Body)
+	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err, elapsed: time.Since(started)}
 }
 
 // respond writes a complete server response. header holds further header lines, such as
--- a/internal/gate/repeated_refusal_test.go
+++ b/internal/gate/repeated_refusal_test.go
@@ -199,25 +199,6 @@
 	}
 }
 
-// requestBody is request with another body.
-func (f *fixture) requestBody(method, path, body string, header ...string) callResult {
-	f.c.Helper()
-	r, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
-	f.c.Assert(err, qt.IsNil)
-	r.Host, r.Header = "h", http.Header{"Id": {"id-1"}, "Key": {"k"}, "Tokens": {"50"}}
-	for i := 0; i+1 < len(header); i += 2 {
-		r.Header.Set(header[i], header[i+1])
-	}
-	started := time.Now()
-	response, err := f.client.Do(r)
-	if err != nil {
-		return callResult{err: err, elapsed: time.Since(started)}
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err, elapsed: time.Since(started)}
-}
-
 // serveRaw accepts connections and serves each with handler.
 func serveRaw(t testing.TB, handler func(conn net.Conn, reader *bufio.Reader)) (address string) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 const (
@@ -117,7 +118,7 @@
 		if time.Since(started) > maxBackoff {
 			backoff = minBackoff
 		}
-		if !sleep(ctx, backoff) {
+		if !wait.Sleep(ctx, backoff) {
 			return nil
 		}
 		backoff = min(backoff*2, maxBackoff)
@@ -125,15 +126,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // listAndWatch watches the prefix from the current revision. It lists the prefix
 // first if it was never listed, and again if there is no watch from the revision. It returns
 // at the first failed call.
@@ -176,7 +168,7 @@
 	defer cancel()
 	changed := false
 	batches := store.WatchByPolling(ctx, m.State().Revision, func(ctx context.Context, revision int64) store.WatchBatch {
-		if changed && !sleep(ctx, m.delay()) {
+		if changed && !wait.Sleep(ctx, m.delay()) {
 			return store.WatchBatch{Err: ctx.Err()}
 		}
 		batch := m.next(ctx, revision)
--- a/internal/prepaid/sync.go
+++ b/internal/prepaid/sync.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 // Run keeps this process's shares and checkpoint in the store up to date until ctx ends. It
@@ -34,7 +35,7 @@
 		m.noteSync(started, err)
 		if err != nil {
 			m.opts.Log.Warn("quota sync failed", "error", err, "retry_in", backoff)
-			if sleep(ctx, backoff) != nil {
+			if !wait.Sleep(ctx, backoff) {
 				return nil
 			}
 			backoff = min(backoff*2, maxBackoff)
@@ -44,15 +45,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // loadRecords reads the quota records that are not loaded yet: those in which an earlier
 // process of the host had a share, and those that requests need.
 func (m *Manager) loadRecords(ctx context.Context) error {
@@ -187,8 +179,8 @@
 		// A smaller batch is less likely to conflict again. The quotas that are left out
 		// stay due, so Run updates them later; Close does not.
 		batch = batch[:(len(batch)+1)/2]
-		if err := sleep(ctx, rand.N(maxConflictJitter)); err != nil {
-			return err
+		if !wait.Sleep(ctx, rand.N(maxConflictJitter)) {
+			return ctx.Err()
 		}
 	}
 	return errTooManyConflicts
--- a/internal/suspect/publish.go
+++ b/internal/suspect/publish.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 				return nil
 			}
 			s.opts.Log.Warn("sending reports of crashes failed", "error", err, "retry_in", backoff)
-			if !sleep(ctx, backoff/2+rand.N(backoff/2)) {
+			if !wait.Sleep(ctx, backoff/2+rand.N(backoff/2)) {
 				return nil
 			}
 			backoff = min(backoff*2, maxBackoff)
@@ -67,15 +68,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // nextDue returns when the next report is due; ok is false if there is none.
 func (s *Shared) nextDue() (due time.Time, ok bool) {
 	s.mu.Lock()
@@ -168,7 +160,7 @@
 		if err != nil || committed {
 			return err
 		}
-		if !sleep(ctx, rand.N(maxConflictDelay)) {
+		if !wait.Sleep(ctx, rand.N(maxConflictDelay)) {
 			return ctx.Err()
 		}
 	}
--- a/internal/syncer/cluster_test.go
+++ b/internal/syncer/cluster_test.go
@@ -22,6 +22,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/config"
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
 	"github.com/monsoonworks/monsoonworks/internal/store/memstore"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -338,7 +339,7 @@
 }
 
 func waitAndTimeOut(ctx context.Context, d time.Duration) error {
-	if !sleep(ctx, d) {
+	if !wait.Sleep(ctx, d) {
 		return ctx.Err()
 	}
 	return errPeerTimeout
--- a/internal/syncer/distributor.go
+++ b/internal/syncer/distributor.go
@@ -8,6 +8,7 @@
 
 	"github.com/monsoonworks/monsoonworks/internal/config"
 	"github.com/monsoonworks/monsoonworks/internal/store"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -135,7 +136,7 @@
 
 // runContactCheck detects when the connection to the store is lost.
 func (s *Syncer) runContactCheck(ctx context.Context) error {
-	for sleep(ctx, maxContactAge/10) {
+	for wait.Sleep(ctx, maxContactAge/10) {
 		s.mu.Lock()
 		s.updateConnected()
 		s.mu.Unlock()
@@ -193,13 +194,13 @@
 // runDistributor watches the store while this node is a distributor.
 func (s *Syncer) runDistributor(ctx context.Context) error {
 	mustRead := false
-	for sleep(ctx, 100*time.Millisecond+rand.N(200*time.Millisecond)) {
+	for wait.Sleep(ctx, 100*time.Millisecond+rand.N(200*time.Millisecond)) {
 		if !s.isDistributor() {
 			continue
 		}
 		if mustRead || s.Status().Revision == 0 || s.isUnverified() {
 			if s.readStore(ctx) != nil {
-				sleep(ctx, jitter(time.Second))
+				wait.Sleep(ctx, jitter(time.Second))
 				continue
 			}
 			mustRead = false
@@ -210,7 +211,7 @@
 		mustRead = errors.Is(err, errChangeMissed) || errors.Is(err, store.ErrCompacted)
 		if err != nil && !mustRead && !errors.Is(err, errWatchIdle) && ctx.Err() == nil {
 			s.log.Warn("watch of the store failed, starting another", "error", err)
-			sleep(ctx, jitter(time.Second))
+			wait.Sleep(ctx, jitter(time.Second))
 		}
 	}
 	return nil
--- a/internal/syncer/follower.go
+++ b/internal/syncer/follower.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -270,7 +271,7 @@
 	for ctx.Err() == nil {
 		if s.isDistributor() && s.isStoreConnected() {
 			s.distributors.release(poller)
-			sleep(ctx, idlePollerInterval)
+			wait.Sleep(ctx, idlePollerInterval)
 			continue
 		}
 		s.mu.RLock()
@@ -278,7 +279,7 @@
 		s.mu.RUnlock()
 		address, maxWait, ok := s.distributors.pick(poller, candidates)
 		if !ok {
-			sleep(ctx, idlePollerInterval)
+			wait.Sleep(ctx, idlePollerInterval)
 			continue
 		}
 		s.pollOnce(ctx, address, maxWait)
@@ -298,7 +299,7 @@
 	}
 	s.distributors.recordReply(address, isConnected(reply))
 	if maxWait > 0 && time.Since(started) < minPollInterval && s.Status().Revision == before {
-		sleep(ctx, minPollInterval)
+		wait.Sleep(ctx, minPollInterval)
 	}
 }
 
@@ -419,7 +420,7 @@
 func (s *Syncer) runFallback(ctx context.Context) error {
 	backoff := jitter(minFallbackBackoff)
 	var next time.Time
-	for sleep(ctx, fallbackCheckInterval+rand.N(fallbackCheckInterval)) {
+	for wait.Sleep(ctx, fallbackCheckInterval+rand.N(fallbackCheckInterval)) {
 		if s.isDistributor() || s.distributors.hasConnectedPoll() {
 			backoff, next = jitter(minFallbackBackoff), time.Now().Add(rand.N(time.Second))
 			continue
@@ -455,15 +456,3 @@
 
 // jitter returns a duration between three quarters and five quarters of d.
 func jitter(d time.Duration) time.Duration { return d*3/4 + rand.N(d/2) }
-
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/syncer/hostlist.go
+++ b/internal/syncer/hostlist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/hosts"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 	"github.com/monsoonworks/monsoonworks/internal/wire"
 )
 
@@ -68,7 +69,7 @@
 // if they have none or if it is older than the randomized hostsFallbackAge.
 func (s *Syncer) runHosts(ctx context.Context) error {
 	age := hostsFallbackAge + rand.N(hostsFallbackAge)
-	for sleep(ctx, jitter(hostsReadInterval)) {
+	for wait.Sleep(ctx, jitter(hostsReadInterval)) {
 		s.mu.RLock()
 		due := s.topology.distributor || s.Hosts().Len() == 0 || time.Since(s.hostState.asOf) > age
 		s.mu.RUnlock()
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -8,6 +8,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"golang.org/x/sync/singleflight"
+
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 const (
@@ -158,7 +160,7 @@
 	}
 	redial.Reset()
 	delay := rand.N(initialDialJitter)
-	for sleep(ctx, delay) {
+	for wait.Sleep(ctx, delay) {
 		s, err := p.Get(ctx, address)
 		if err == nil {
 			opened := time.Now()
@@ -187,18 +189,6 @@
 	}
 }
 
-// sleep waits for d. It returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Close closes all sessions and waits for the pool's goroutines to end.
 func (p *Pool) Close() {
 	p.mu.Lock()
