Count a crash whose connection is closed before any event of an unframed stream

What callers could see: servers that go on crashing, if their answers have neither a length nor chunks and the crash closes the connection instead of resetting it. Cause: such an end is its own error, which did not count as an ended connection. Change: it does. Result: TestCrashingRequestNotSentOn, now for both kinds of response and of end, failed before and passes.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -113,7 +113,7 @@
 // connectionEnded reports whether an attempt failed because the server closed or reset its
 // connection.
 func connectionEnded(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, errNoEvents) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // reportIfCrashed reports a crash of a server with a request in progress, unless the server still
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -33,13 +33,26 @@
 	}
 }
 
-// Guards against a request that crashes a server and is then sent to the next one.
+// Guards against a request that crashes a server and is then sent to the next one, whatever marks the
+// end of its response, and whether its connection is reset or closed.
 func TestCrashingRequestNotSentOn(t *testing.T) {
+	for _, writeHeader := range []func(net.Conn, *http.Request) bool{writeEventStreamHeader, writeUnframedHeader} {
+		for _, end := range []script{resetConn, closeConn} {
+			testCrashingRequest(t, writeHeader, end)
+		}
+	}
+}
+
+// closeConn closes the connection on every request.
+func closeConn(int, *http.Request, net.Conn) bool { return false }
+
+func testCrashingRequest(t *testing.T, writeHeader func(net.Conn, *http.Request) bool, end script) {
 	var f *fixture
-	f = newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
-		writeEventStreamHeader(conn, r)
+	f = newFixture(t, func(n int, r *http.Request, conn net.Conn) bool {
+		writeHeader(conn, r)
 		time.Sleep(20 * time.Millisecond)
-		return f.crash(0, conn)
+		_ = f.servers[0].listener.Close()
+		return end(n, r, conn)
 	}, resumeStream)
 	f.quarantine.suspected = []uint64{partID("b")}
 	got := f.request("POST", "/resume/", "Parts", "a,b,own")
