--- a/review/_kit/client.go
+++ b/review/_kit/client.go
@@ -46,6 +46,9 @@
 	if q.method == "" {
 		q.method = http.MethodPost
 	}
+	if q.parts != "" && q.body == "" {
+		q.body = "prompt of " + q.id // no two alike
+	}
 	if q.deadline == 0 {
 		q.deadline = 4 * time.Second
 	}
--- a/review/_kit/deadly.go
+++ b/review/_kit/deadly.go
@@ -61,14 +61,14 @@
 			q := request{tenant: "huka270", gate: i % len(d.gates)}
 			switch i % 4 {
 			case 0, 1:
-				q.kind, q.path = "draft", "/2f"
+				q.kind, q.path = []string{"draft", "chat"}[i%4], "/2f"
 				q.parts, q.tokens = fmt.Sprintf("5c1e07a2:800,%x:410,%s:250", 0x91bd3f00+i%3, newID()[:8]), "1460,30"
 			case 2:
 				q.kind, q.path, q.body = "order", "/2f", "milk"
 			case 3:
 				q.kind, q.path, q.method = "read", "/2f", http.MethodGet
 			}
-			group.Go(func() { d.send(q) })
+			group.Go(func() { d.sendSound(q) })
 		}
 	})
 	return &group
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -45,6 +45,7 @@
 	d := newDeployment(rec)
 	held := play(d, os.Getenv("TROUBLE") != "0")
 	d.end()
+	d.saySound()
 	rec.say("the rule held: %v", held)
 	rec.close()
 	if !held {
--- a/review/_kit/platform.go
+++ b/review/_kit/platform.go
@@ -80,7 +80,6 @@
 	subnet  string
 	store   *memstore.Store
 	handler *platformtest.Server
-	// storeDelay is how long the store waits before it handles a call.
 	gates   []*process
 	gateIPs []string
 	relays  []*process
@@ -88,6 +87,36 @@
 
 	mu      sync.Mutex
 	version int64
+	sound   soundCount
+}
+
+// soundCount counts the answers to sound requests. A cut one had begun and is incomplete.
+type soundCount struct{ sent, whole, cut, refused, failed int }
+
+// sendSound sends a sound request and counts its answer.
+func (d *deployment) sendSound(q request) answer {
+	a := d.send(q)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sound.sent++
+	switch {
+	case a.status == http.StatusOK && a.complete:
+		d.sound.whole++
+	case a.status == http.StatusOK:
+		d.sound.cut++
+	case a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests:
+		d.sound.refused++
+	default:
+		d.sound.failed++
+	}
+	return a
+}
+
+func (d *deployment) saySound() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rec.say("sound requests: %d sent, %d answered whole, %d cut in the middle, %d refused, %d failed",
+		d.sound.sent, d.sound.whole, d.sound.cut, d.sound.refused, d.sound.failed)
 }
 
 // newDeployment starts the platform's store on an unused part of the loopback network.
