--- a/review/_kit/server.go
+++ b/review/_kit/server.go
@@ -38,19 +38,24 @@
 
 func (s *server) address() string { return fmt.Sprintf("%s:%d", s.ip, serverPort) }
 
-// start begins a new lifetime.
-func (s *server) start() {
+// start begins a new lifetime with a new id.
+func (s *server) start() { s.startAs(fmt.Sprintf("i-%08x", rand.Uint32()), 0) }
+
+// startAs begins a new lifetime. Its first entry is written after a time.
+func (s *server) startAs(id string, reportAfter time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	listener, err := net.Listen("tcp", s.address())
 	if err != nil {
 		cannotRun("server at %s: %v", s.address(), err)
 	}
-	s.id, s.born, s.up, s.stop = fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli(), true, make(chan struct{})
-	id := s.id
+	s.id, s.born, s.up, s.stop = id, time.Now().UnixMilli(), true, make(chan struct{})
 	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(id, w, r) })}
 	go func(h *http.Server) { _ = h.Serve(listener) }(s.http)
-	go s.report(s.id, s.born, s.stop)
+	go func(born int64, stop <-chan struct{}) {
+		time.Sleep(reportAfter)
+		s.report(id, born, stop)
+	}(s.born, s.stop)
 	s.d.rec.add("server", "%s %s starts as %s", s.service, s.ip, s.id)
 }
 
@@ -68,7 +73,10 @@
 		s.d.put("servers/"+id, entry)
 		select {
 		case <-time.After(heartbeat):
-		case <-stop:
+		case _, restarts := <-stop:
+			if restarts {
+				return
+			}
 			time.Sleep(3 * heartbeat)
 			s.d.remove("servers/" + id)
 			return
