Attribute crashes after the first event of a stream

What callers saw: requests with a part of a prompt that crashes servers right after the first event were never refused.

Cause: a gate took an event as proof that a request had not crashed its server. causedCrash returned at once, so the crash had no candidate, and reportSound cleared the parts at that first event, also of crashes that counted.

Change: within half a second of its first event a stream's request is a candidate, with a weight of its own (4 crashes). A part is sound when a stream goes on beyond that, or ends whole; an end that the response does not mark is checked with the server. A gate logs each crash with what the request had received.

Evidence: TestCrashAfterFirstEventReported fails with the old conditions (scratch copy, all three cases).

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -15,8 +15,13 @@
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
-// crashRecheckDelay is the time from the end of a connection to the second check for a crash.
-const crashRecheckDelay = 100 * time.Millisecond
+const (
+	// crashRecheckDelay is the time from the end of a connection to the second check for a crash.
+	crashRecheckDelay = 100 * time.Millisecond
+	// answerBeginning is how long the beginning of a stream lasts, from its first event. A server
+	// that crashes in it may have been crashed by the stream's request.
+	answerBeginning = 500 * time.Millisecond
+)
 
 // Quarantine keeps requests that crash servers from all servers. suspect.Shared implements it.
 type Quarantine interface {
@@ -27,7 +32,8 @@
 	ReportCrash(crash suspect.Crash)
 	// Suspected reports whether a crash counts against one of the fingerprints.
 	Suspected(fingerprints []uint64) bool
-	// ReportSound reports that a server has begun to answer a request and lives.
+	// ReportSound reports that a server has answered a request, whole or beyond the beginning,
+	// and lives.
 	ReportSound(fingerprints []uint64)
 }
 
@@ -83,15 +89,35 @@
 	}
 }
 
+// noteEvents notes that an attempt has sent events, and reports the request as sound if they are
+// not the beginning of its answer.
+func (p *proxyRequest) noteEvents(attempt *fleet.Attempt) {
+	now := time.Now()
+	if p.stream.answeredBy != attempt {
+		p.stream.answeredBy, p.stream.answeredSince = attempt, now
+	}
+	if now.Sub(p.stream.answeredSince) >= answerBeginning {
+		p.reportSound()
+	}
+}
+
 // causedCrash reports a crash if the server of a failed attempt no longer accepts connections. It
 // returns whether the request must not be sent to another server: its answer had begun, with no event
 // so far, and it was suspected before. Only if its answer had begun the check is made at once. A server
-// that has sent an event was not crashed by the request.
+// that has sent events beyond the beginning of the answer was not crashed by the request.
 func (p *proxyRequest) causedCrash(attempt *fleet.Attempt, err error) bool {
-	if !connectionEnded(err) || p.stream.answeredBy == attempt {
+	if !connectionEnded(err) {
 		return false
 	}
-	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Begun: attempt.TimeToFirstByte() > 0}
+	candidate := suspect.Candidate{Fingerprints: p.fingerprints()}
+	if p.stream.answeredBy == attempt {
+		if time.Since(p.stream.answeredSince) >= answerBeginning {
+			return false
+		}
+		candidate.Answering = true
+	} else {
+		candidate.Begun = attempt.TimeToFirstByte() > 0
+	}
 	suspected := p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
 	if candidate.Begun && p.gate.reportIfCrashed(attempt.Server(), candidate) {
 		return suspected
@@ -100,14 +126,29 @@
 	return false
 }
 
+// checkUnmarkedEnd checks a server whose stream has ended with its connection, within the beginning
+// of the answer: either the answer is complete, or the server has crashed.
+func (p *proxyRequest) checkUnmarkedEnd(attempt *fleet.Attempt) {
+	if p.soundReported {
+		return
+	}
+	p.soundReported = true
+	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Answering: true}
+	go func() {
+		if !p.gate.recheckCrash(attempt.Server(), candidate) {
+			p.gate.opts.Quarantine.ReportSound(candidate.Fingerprints)
+		}
+	}()
+}
+
 // recheckCrash checks for a crash at once and once more, because a server can end its connections
-// before it stops listening.
-func (g *Gate) recheckCrash(s *fleet.Server, candidate suspect.Candidate) {
+// before it stops listening. It reports whether the server has crashed.
+func (g *Gate) recheckCrash(s *fleet.Server, candidate suspect.Candidate) bool {
 	if !candidate.Begun && g.reportIfCrashed(s, candidate) {
-		return
+		return true
 	}
 	time.Sleep(crashRecheckDelay)
-	g.reportIfCrashed(s, candidate)
+	return g.reportIfCrashed(s, candidate)
 }
 
 // connectionEnded reports whether an attempt failed because the server closed or reset its
@@ -127,6 +168,8 @@
 		return false
 	}
 	g.stats.serverCrashes.Inc(1)
+	g.opts.Log.Info("server crashed with a request in progress", "server", s.ID, "started_unix_ms", s.StartedUnixMilli,
+		"head_only", candidate.Begun, "answering", candidate.Answering)
 	g.opts.Quarantine.ReportCrash(suspect.Crash{
 		ID: s.ID + "@" + strconv.FormatInt(s.StartedUnixMilli, 10), At: time.Now().UnixMilli(), Candidates: []suspect.Candidate{candidate},
 	})
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -82,16 +82,86 @@
 	f.c.Assert(f.quarantine.sound[0][0], qt.Equals, partID("a"))
 }
 
-// Guards against counting a broken connection of a living server, or a stream with events, as a crash
-// that the request caused.
+// Guards against missing a crash by a request whose answer had sent its first event, and against taking
+// that event as proof that the request is sound. It also shows that the stream goes on elsewhere.
+func TestCrashAfterFirstEventReported(t *testing.T) {
+	for name, test := range map[string]struct {
+		writeHead  func(net.Conn, *http.Request) bool
+		writeEvent func(net.Conn, string) bool
+		end        script
+	}{
+		"reset": {writeEventStreamHeader, writeChunk, resetConn}, "closed": {writeEventStreamHeader, writeChunk, closeConn},
+		"end not marked": {writeUnframedHeader, writeRaw, closeConn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			f = newFixture(t, func(n int, r *http.Request, conn net.Conn) bool {
+				test.writeHead(conn, r)
+				test.writeEvent(conn, formatEvent(1))
+				time.Sleep(20 * time.Millisecond)
+				_ = f.servers[0].listener.Close()
+				return test.end(n, r, conn)
+			}, resumeStream)
+			got := f.request("POST", "/resume/", "Parts", "a,b,own")
+			f.c.Assert(got.err, qt.IsNil)
+			if name == "end not marked" {
+				f.c.Assert(got.body, qt.Equals, formatEvents(1, 1))
+			} else {
+				f.c.Assert(got.body, qt.Equals, formatEvents(1, 5))
+			}
+			crash := f.reportedCrashes(1)[0]
+			f.c.Assert(crash.Candidates, qt.HasLen, 1)
+			f.c.Assert(crash.Candidates[0].Begun, qt.IsFalse)
+			f.c.Assert(crash.Candidates[0].Answering, qt.IsTrue)
+			f.c.Assert(crash.Candidates[0].Fingerprints[:2], qt.DeepEquals, []uint64{partID("a"), partID("b")})
+			f.quarantine.mu.Lock()
+			defer f.quarantine.mu.Unlock()
+			// Only the second server has answered, where there was one.
+			f.c.Assert(f.quarantine.sound, qt.HasLen, len(f.servers[1].received()))
+		})
+	}
+}
+
+// Guards against sound requests that are never reported as such, however their answers end.
+func TestSoundRequestsReported(t *testing.T) {
+	unmarked := func(_ int, r *http.Request, conn net.Conn) bool {
+		writeUnframedHeader(conn, r)
+		writeRaw(conn, formatEvents(1, 2))
+		return false
+	}
+	unending := func(_ int, r *http.Request, conn net.Conn) bool {
+		writeEventStreamHeader(conn, r)
+		for id := 1; writeChunk(conn, formatEvent(id)); id++ {
+			time.Sleep(50 * time.Millisecond)
+		}
+		return false
+	}
+	for name, s := range map[string]script{"whole": resumeStream, "end not marked": unmarked, "beyond the beginning": unending} {
+		f := newFixture(t, s)
+		f.request("POST", "/resume/", "Parts", "a,own", "Deadline", "900ms")
+		deadline := time.Now().Add(2 * time.Second)
+		sound := 0
+		for ; sound == 0 && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			f.quarantine.mu.Lock()
+			sound = len(f.quarantine.sound)
+			f.quarantine.mu.Unlock()
+		}
+		f.c.Check(sound, qt.Equals, 1, qt.Commentf("%s", name))
+	}
+}
+
+// Guards against counting a broken connection of a living server, or a stream beyond its beginning, as a
+// crash that the request caused.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	f := newFixture(t, resetConn, resumeStream)
 	f.c.Assert(f.request("POST", "/resume/").err, qt.IsNil)
 	var g *fixture
 	g = newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
 		writeEventStreamHeader(conn, r)
-		writeEvents(conn, 1, 2)
-		time.Sleep(20 * time.Millisecond)
+		for id := range 4 {
+			writeEvents(conn, id+1, id+1)
+			time.Sleep(answerBeginning/4 + 10*time.Millisecond)
+		}
 		return g.crash(0, conn)
 	}, resumeStream)
 	got := g.request("POST", "/resume/")
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -37,6 +37,8 @@
 	eventCount  int
 	// answeredBy is the attempt whose server sent the last event, nil if there was none.
 	answeredBy *fleet.Attempt
+	// answeredSince is when the first event of answeredBy arrived.
+	answeredSince time.Time
 	// commentBytes is the size of the comments since the last event.
 	commentBytes int
 }
@@ -80,7 +82,7 @@
 			return p.streamBroken(errNoEvents)
 		case r.err == io.EOF && len(r.buffer) == 0:
 			r.conn.Release(r.response, r.info.reusable(), r.info.IdleTimeout)
-			return p.streamCompleted(r.response)
+			return p.streamCompleted(r)
 		case r.err == io.EOF:
 			r.conn.Discard()
 			return p.streamBroken(io.ErrUnexpectedEOF)
@@ -138,8 +140,8 @@
 		return outcome{done: true, truncated: true, result: fleet.Canceled, verdict: verdict.Ran, code: verdict.CodeCanceled, err: err}, false
 	}
 	if count > 0 {
-		p.reportSound()
-		p.stream.answeredBy, r.stalled, r.waited = r.attempt, false, false
+		p.noteEvents(r.attempt)
+		r.stalled, r.waited = false, false
 	}
 	// Comments and parts of an event do not extend the deadline: a stalled stream can
 	// go on sending them.
@@ -310,9 +312,14 @@
 
 // streamCompleted returns the outcome of a stream that the server completed. It sends
 // the header of a stream without events.
-func (p *proxyRequest) streamCompleted(response *http.Response) outcome {
+func (p *proxyRequest) streamCompleted(r *pendingResponse) outcome {
 	if !p.stream.started {
-		p.writeStreamHeader(http.NewResponseController(p.w), response)
+		p.writeStreamHeader(http.NewResponseController(p.w), r.response)
+	}
+	if hasMarkedEnd(r.response) {
+		p.reportSound()
+	} else {
+		p.checkUnmarkedEnd(r.attempt)
 	}
 	return outcome{done: true, result: fleet.Answered, verdict: verdict.Ran}
 }
--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -32,15 +32,23 @@
 }
 
 // threshold is the score at which a fingerprint is blocked.
-func (p Policy) threshold() int { return p.BegunCrashes * p.Crashes }
+func (p Policy) threshold() int { return p.BegunCrashes * p.AnsweringCrashes * p.Crashes }
 
-// weight is what a crash adds to a score, so that BegunCrashes or Crashes of them reach the
-// threshold.
-func (p Policy) weight(begun bool) int {
-	if begun {
-		return p.Crashes
+// weight is what a crash with a candidate adds to a score. As many crashes as the policy states
+// for its kind reach the threshold.
+func (p Policy) weight(c Candidate) int {
+	switch {
+	case c.Begun:
+		return p.threshold() / p.BegunCrashes
+	case c.Answering:
+		return p.threshold() / p.AnsweringCrashes
 	}
-	return p.BegunCrashes
+	return p.threshold() / p.Crashes
+}
+
+// maxWeight is the most that a crash adds to a score.
+func (p Policy) maxWeight() int {
+	return p.threshold() / min(p.BegunCrashes, p.AnsweringCrashes, p.Crashes)
 }
 
 // decide goes through the crashes in their order.
@@ -90,7 +98,7 @@
 				s = &standing{}
 				d.standings[f] = s
 			}
-			s.add(crash, d.policy.weight(candidate.Begun), d.policy.MinSpacing.Milliseconds())
+			s.add(crash, d.policy.weight(candidate), d.policy.MinSpacing.Milliseconds())
 		}
 	}
 }
@@ -155,7 +163,7 @@
 func (d *decision) nearBlock(fingerprint uint64) bool {
 	s := d.standings[fingerprint]
 	return s != nil && !s.blocked && s.score > 0 &&
-		s.score+max(d.policy.weight(true), d.policy.weight(false)) >= d.policy.threshold()
+		s.score+d.policy.maxWeight() >= d.policy.threshold()
 }
 
 // prune removes what is no longer needed: expired crashes that block nothing, the least
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -1,6 +1,7 @@
 package suspect
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -35,10 +36,11 @@
 
 // Policy decides when a fingerprint is blocked and when it is tried again.
 type Policy struct {
-	// BegunCrashes is the number of crashes after which a fingerprint is blocked if the
-	// answers of its requests had begun, Crashes the number if they had not. Both kinds add
-	// up in proportion.
-	BegunCrashes, Crashes int
+	// BegunCrashes is the number of crashes after which a fingerprint is blocked if its
+	// requests had got the head of an answer and no event, AnsweringCrashes the number if they
+	// had got their first event shortly before, as bystanders have more often, and Crashes the
+	// number for other requests. All kinds add up in proportion.
+	BegunCrashes, AnsweringCrashes, Crashes int
 	// MinSpacing is the time within which crashes count once against a fingerprint: servers
 	// that crash together have a common cause other than a request.
 	MinSpacing time.Duration
@@ -54,7 +56,7 @@
 // DefaultPolicy returns the policy of the gates.
 func DefaultPolicy() Policy {
 	return Policy{
-		BegunCrashes: 3, Crashes: 5, MinSpacing: 500 * time.Millisecond,
+		BegunCrashes: 3, AnsweringCrashes: 4, Crashes: 5, MinSpacing: 500 * time.Millisecond,
 		FirstTrial: 15 * time.Second, MaxTrial: time.Hour, TTL: time.Hour, MaxCrashes: maxStoredCrashes,
 	}
 }
@@ -79,8 +81,13 @@
 	Fingerprints []uint64 `json:"f"`
 	// Begun means that the head of the response was received, and no event.
 	Begun bool `json:"begun,omitempty"`
+	// Answering means that the first event was received shortly before the crash.
+	Answering bool `json:"answering,omitempty"`
 }
 
+// strong reports whether the server had just begun to answer the request when it crashed.
+func (c Candidate) strong() bool { return c.Begun || c.Answering }
+
 // Crash is a crash of a server.
 type Crash struct {
 	// ID identifies the server instance and its lifetime, so that it is the same in all
@@ -172,11 +179,23 @@
 }
 
 func (c Candidate) equal(o Candidate) bool {
-	return c.Begun == o.Begun && slices.Equal(c.Fingerprints, o.Fingerprints)
+	return c.Begun == o.Begun && c.Answering == o.Answering && slices.Equal(c.Fingerprints, o.Fingerprints)
 }
 
-// mergeCandidates returns the union of the candidates. If any of them had begun, the others
-// cannot be the cause and are left out.
+// rank orders candidates: those that are most probably the cause come first.
+func (c Candidate) rank() int {
+	switch {
+	case c.Begun:
+		return 0
+	case c.Answering:
+		return 1
+	}
+	return 2
+}
+
+// mergeCandidates returns the union of the candidates, strong ones first. If the head of any
+// response had arrived without an event, the requests without a head cannot be the cause and
+// are left out.
 func mergeCandidates(known, added []Candidate) []Candidate {
 	merged := slices.Clone(known)
 	for _, c := range added {
@@ -187,16 +206,17 @@
 			c.Fingerprints = append(slices.Clone(c.Fingerprints[:maxFingerprints-1]), c.Fingerprints[n-1])
 		}
 		same := slices.IndexFunc(merged, func(m Candidate) bool { return slices.Equal(m.Fingerprints, c.Fingerprints) })
-		switch {
-		case same < 0:
+		if same < 0 {
 			merged = append(merged, c)
-		case c.Begun:
-			merged[same].Begun = true
+			continue
 		}
+		merged[same].Begun = merged[same].Begun || c.Begun
+		merged[same].Answering = merged[same].Answering || c.Answering
 	}
 	if slices.ContainsFunc(merged, func(c Candidate) bool { return c.Begun }) {
-		merged = slices.DeleteFunc(merged, func(c Candidate) bool { return !c.Begun })
+		merged = slices.DeleteFunc(merged, func(c Candidate) bool { return !c.strong() })
 	}
+	slices.SortStableFunc(merged, func(a, b Candidate) int { return cmp.Compare(a.rank(), b.rank()) })
 	return merged[:min(len(merged), maxCandidates)]
 }
 
--- a/internal/suspect/evidence_test.go
+++ b/internal/suspect/evidence_test.go
@@ -25,6 +25,9 @@
 func waiting(fingerprints ...uint64) Candidate {
 	return Candidate{Fingerprints: fingerprints}
 }
+func answering(fingerprints ...uint64) Candidate {
+	return Candidate{Fingerprints: fingerprints, Answering: true}
+}
 
 // crashesOf returns evidence with one crash a second for each list of candidates.
 func crashesOf(crashes ...[]Candidate) Evidence {
@@ -69,6 +72,13 @@
 		{"an innocent part in the first crashes", [][]Candidate{poison(100), poison(101), poison(102), one(begun(1, 2, 4, 103)), poison(104)}, []uint64{2, 3}},
 		{"the first part", [][]Candidate{one(begun(1, 20, 30, 100)), one(begun(1, 21, 30, 101)), one(begun(1, 20, 30, 102)), one(begun(1, 20, 31, 103))}, []uint64{1, 30}},
 		{"bystanders whose answers had not begun", repeat(4, begun(1, 2, 3, 100), waiting(7, 8, 101)), []uint64{100}},
+		{"three crashes after an event", repeat(3, answering(1, 2, 100)), []uint64{}},
+		{"four crashes after an event", [][]Candidate{one(answering(1, 2, 100)), one(answering(1, 2, 101)), one(answering(1, 2, 102)), one(answering(1, 2, 103))}, []uint64{2}},
+		{"after an event, beside others", [][]Candidate{
+			one(begun(7, 70, 200), waiting(8, 201), answering(1, 2, 100)), one(answering(1, 2, 101), waiting(8, 202)),
+			one(answering(1, 3, 203), answering(1, 2, 102)), one(answering(1, 2, 103)),
+		}, []uint64{2}},
+		{"bystanders beside an answer that has begun", repeat(5, waiting(7, 8, 101), answering(1, 2, 100)), []uint64{100}},
 		{"not begun", repeat(4, waiting(1, 2, 100)), []uint64{}},
 		{"not begun, five crashes", repeat(5, waiting(1, 2, 100)), []uint64{100}},
 		{"a mix", append(repeat(2, waiting(1, 2, 100)), poison(101), poison(102)), []uint64{2}},
@@ -257,3 +267,26 @@
 		c.Assert(first.Check(t.Context(), []uint64{2}), qt.IsNotNil)
 	})
 }
+
+// Guards against blocking what most requests share when servers crash together, and against
+// ignoring crashes by a request that was answered long before.
+func TestRecentAnswersAreNoCandidates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newTestShared(t, memstore.New(memstore.Options{}))
+		report := func(id string, candidates ...Candidate) {
+			s.ReportCrash(Crash{ID: id, At: time.Now().UnixMilli(), Candidates: candidates})
+			time.Sleep(answerTTL / 2)
+		}
+		s.ReportSound([]uint64{1, 2, 100})
+		report("a", begun(1, 2, 100), answering(1, 3, 101))
+		c.Assert(s.Suspected([]uint64{1, 2, 100}), qt.IsFalse)
+		c.Assert(s.Suspected([]uint64{3}), qt.IsTrue)
+		report("b", begun(1, 3, 102))
+		for _, id := range []string{"c", "d"} {
+			report(id, begun(1, 3, 103))
+		}
+		c.Assert(s.Check(t.Context(), []uint64{1, 2, 104}), qt.IsNil)
+		c.Assert(s.Check(t.Context(), []uint64{1, 3, 104}), qt.IsNotNil)
+	})
+}
--- a/internal/suspect/shared.go
+++ b/internal/suspect/shared.go
@@ -22,7 +22,7 @@
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
 	// begunReportDelay bounds the random delay of a report with a candidate whose answer had
-	// begun; otherReportDelay that of other reports, which are often superseded meanwhile.
+	// just begun; otherReportDelay that of other reports, which are often superseded meanwhile.
 	begunReportDelay = 100 * time.Millisecond
 	otherReportDelay = 600 * time.Millisecond
 	// blockedMarkDelay and nearMarkDelay bound the random delay before a sound mark of a
@@ -53,7 +53,8 @@
 	opts  SharedOptions
 	stats sharedStats
 	// owner identifies this process in trials.
-	owner string
+	owner   string
+	answers *answers
 	// view is nil while nothing is suspect.
 	view atomic.Pointer[view]
 	wake chan struct{}
@@ -135,7 +136,7 @@
 		return metrics.GetOrRegisterCounter("monsoon.suspect."+name, o.Metrics)
 	}
 	return &Shared{
-		opts: o, owner: uuid.NewString(), wake: make(chan struct{}, 1),
+		opts: o, owner: uuid.NewString(), answers: newAnswers(), wake: make(chan struct{}, 1),
 		stats: sharedStats{
 			crashes: counter("crash_reports_count"), blocked: counter("blocked_count"), refused: counter("refused_count"),
 			trials: counter("trials_count"), conflicts: counter("conflicts_count"),
@@ -223,8 +224,9 @@
 }
 
 // ReportCrash reports a crash. It takes effect in this process at once and is sent to the
-// store in the background.
+// store in the background. What was answered here recently is no candidate for the cause.
 func (s *Shared) ReportCrash(crash Crash) {
+	crash.Candidates = s.answers.unanswered(crash.Candidates, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.merged.clone()
@@ -233,7 +235,7 @@
 	}
 	s.stats.crashes.Inc(1)
 	delay := otherReportDelay
-	if slices.ContainsFunc(crash.Candidates, func(c Candidate) bool { return c.Begun }) {
+	if slices.ContainsFunc(crash.Candidates, Candidate.strong) {
 		delay = begunReportDelay
 	}
 	s.addPending(&pendingCrash{crash: crash, sendAt: time.Now().Add(rand.N(delay))})
@@ -263,10 +265,11 @@
 	s.crashes = append(s.crashes, added)
 }
 
-// ReportSound reports that the answer to a request with these fingerprints has sent an event.
+// ReportSound reports that a server has answered a request with these fingerprints and lives.
 // It takes effect in this process at once. It is published only for fingerprints that are
 // blocked or one crash from it.
 func (s *Shared) ReportSound(fingerprints []uint64) {
+	s.answers.add(fingerprints, time.Now())
 	v := s.view.Load()
 	if v == nil {
 		return
--- a/internal/suspect/simulation_test.go
+++ b/internal/suspect/simulation_test.go
@@ -30,6 +30,8 @@
 	maxLatePoison = 3
 	simServers    = 40
 	serverRestart = 3 * time.Second
+	// answerBeginning is how long the beginning of an answer lasts, from its first event.
+	answerBeginning = 500 * time.Millisecond
 )
 
 // setting is a kind of day.
@@ -37,6 +39,8 @@
 	gates int
 	// deadly is the index of the part that crashes servers.
 	deadly int
+	// afterEvent crashes servers after the first event of an answer, not after its head.
+	afterEvent bool
 	// burst crashes six servers at a time without a cause, restart ends all gates at a random
 	// moment, silence makes the store silent for 5 s. outage crashes all servers within a
 	// second, on a day without poison requests.
@@ -48,6 +52,7 @@
 	gate         *simGate
 	fingerprints []uint64
 	head, event  bool
+	eventAt      time.Time // of the first event
 	lost         chan struct{}
 }
 
@@ -211,13 +216,29 @@
 	if s.wait(r, 5+s.draw(40)) {
 		return false, true
 	}
+	if poison && !s.setting.afterEvent {
+		s.crash(server, true)
+		return false, true
+	}
+	s.update(func() { r.event, r.eventAt = true, time.Now() })
 	if poison {
 		s.crash(server, true)
 		return false, true
 	}
-	s.update(func() { r.event = true })
+	length := s.draw(2000)
+	beginning := min(length, uint64(answerBeginning.Milliseconds()))
+	if s.wait(r, beginning) {
+		return false, true
+	}
 	g.shared.ReportSound(fingerprints)
-	return false, s.wait(r, s.draw(2000))
+	return false, s.wait(r, length-beginning)
+}
+
+// candidate returns a request in progress as a candidate for the crash of its server, as a gate
+// reports it; ok is false if it is none. The caller holds s.mu.
+func (s *simulation) candidate(r *simRequest) (c Candidate, ok bool) {
+	c = Candidate{Fingerprints: r.fingerprints, Begun: r.head && !r.event, Answering: r.event}
+	return c, !r.event || time.Since(r.eventAt) < answerBeginning
 }
 
 // enqueue adds a request to a server that is up.
@@ -255,7 +276,8 @@
 	}
 }
 
-// crash ends a server's lifetime. The gates report their requests that had no event.
+// crash ends a server's lifetime. The gates report their requests that were not beyond the
+// beginning of their answers.
 func (s *simulation) crash(server *simServer, poison bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -273,9 +295,8 @@
 	server.lifetime++
 	for r := range server.running {
 		close(r.lost)
-		if !r.event {
+		if candidate, ok := s.candidate(r); ok {
 			delay := time.Duration(s.random.IntN(20)) * time.Millisecond
-			candidate := Candidate{Fingerprints: r.fingerprints, Begun: r.head}
 			time.AfterFunc(delay, func() {
 				r.gate.shared.ReportCrash(Crash{ID: id, At: time.Now().Add(r.gate.skew).UnixMilli(), Candidates: []Candidate{candidate}})
 			})
@@ -413,7 +434,7 @@
 	for _, gates := range []int{4, 28, 68} {
 		for name, s := range map[string]setting{
 			"third part": {deadly: 2}, "second part": {deadly: 1}, "first part": {deadly: 0},
-			"servers crash together": {deadly: 2, burst: true}, "all restart": {deadly: 2, restart: true},
+			"after an event": {deadly: 2, afterEvent: true}, "servers crash together": {deadly: 2, burst: true}, "all restart": {deadly: 2, restart: true},
 			"store silent": {deadly: 2, silence: true}, "outage": {deadly: 2, outage: true},
 		} {
 			s.gates = gates
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -31,7 +31,9 @@
 // policy blocks a request at the second crash. A request must not crash more than 3 servers;
 // the difference is a margin for routers that do not know of the second crash yet. Blocked
 // requests get no trials here: they expire.
-var policy = Policy{BegunCrashes: crashesToBlock, Crashes: crashesToBlock, MaxCrashes: maxCrashes}
+var policy = Policy{
+	BegunCrashes: crashesToBlock, AnsweringCrashes: crashesToBlock, Crashes: crashesToBlock, MaxCrashes: maxCrashes,
+}
 
 // entry is the state of one fingerprint.
 type entry struct {
