Keep all parts of long prompts in the evidence of crashes

What callers saw: a part that crashes servers was never refused if it was the 36th of a prompt of 41.

Cause: maxFingerprints. The evidence kept the first 31 parts and the whole request; sound requests share the former, and no two of the latter are alike.

Change: a candidate, and a crash, keep up to 2,048 fingerprints, more than a header of 16 KiB has room for. The record is bounded by the fingerprints of all crashes together, 8,192: crashes are dropped in the order in which they are dropped beyond 64. Sound marks are bounded by 2,048. At its largest the record fits into a message to a relay (512 KiB), which TestEvidenceIsBounded checks now.

--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -179,7 +179,7 @@
 		}
 	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return !decisive[c.ID] && expired(c) })
-	e.dropExcess(p.MaxCrashes, func(c Crash) int {
+	e.dropExcess(p.MaxCrashes, maxStoredFingerprints, func(c Crash) int {
 		switch {
 		case d.explained[c.Number]:
 			return 0
@@ -194,18 +194,23 @@
 	e.Trials = e.Trials[max(0, len(e.Trials)-maxTrials):]
 }
 
-// dropExcess drops crashes beyond limit: those of the lowest rank first, and the oldest first
-// of one rank.
-func (e *Evidence) dropExcess(limit int, rank func(Crash) int) {
-	excess := len(e.Crashes) - limit
-	if excess <= 0 {
+// dropExcess drops crashes beyond a number of crashes and of their fingerprints: those of the
+// lowest rank first, and the oldest first of one rank.
+func (e *Evidence) dropExcess(crashes, fingerprints int, rank func(Crash) int) {
+	excess, excessFingerprints := len(e.Crashes)-crashes, e.fingerprintCount()-fingerprints
+	if excess <= 0 && excessFingerprints <= 0 {
 		return
 	}
 	order := slices.Clone(e.Crashes)
 	slices.SortStableFunc(order, func(a, b Crash) int { return cmp.Compare(rank(a), rank(b)) })
 	dropped := map[string]bool{}
-	for _, c := range order[:excess] {
+	for _, c := range order {
+		if excess <= 0 && excessFingerprints <= 0 {
+			break
+		}
 		dropped[c.ID] = true
+		excess--
+		excessFingerprints -= fingerprintCount(c.Candidates)
 	}
 	e.Crashes = slices.DeleteFunc(e.Crashes, func(c Crash) bool { return dropped[c.ID] })
 }
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -12,12 +12,17 @@
 )
 
 const (
-	// maxCandidates and maxFingerprints bound a crash and a candidate. Further ones are
-	// dropped.
+	// maxCandidates bounds a crash, and maxFingerprints one candidate and all candidates of a
+	// crash together. Further ones are dropped. A request header of 16 KiB has room for fewer
+	// parts of a prompt.
 	maxCandidates   = 16
-	maxFingerprints = 32
-	// maxSoundMarks and maxTrials bound the evidence besides its crashes.
-	maxSoundMarks = 1024
+	maxFingerprints = 2048
+	// maxStoredFingerprints bounds the fingerprints of all crashes together, so that the encoded
+	// evidence fits into a message to a relay.
+	maxStoredFingerprints = 4 * maxFingerprints
+	// maxSoundMarks and maxTrials bound the evidence besides its crashes. A long prompt can need
+	// a mark for each part.
+	maxSoundMarks = maxFingerprints
 	maxTrials     = 64
 	// maxIDBytes bounds the ID of a crash and the owner of a trial.
 	maxIDBytes = 256
@@ -217,7 +222,29 @@
 		merged = slices.DeleteFunc(merged, func(c Candidate) bool { return !c.strong() })
 	}
 	slices.SortStableFunc(merged, func(a, b Candidate) int { return cmp.Compare(a.rank(), b.rank()) })
-	return merged[:min(len(merged), maxCandidates)]
+	merged = merged[:min(len(merged), maxCandidates)]
+	for len(merged) > 1 && fingerprintCount(merged) > maxFingerprints {
+		merged = merged[:len(merged)-1]
+	}
+	return merged
+}
+
+// fingerprintCount returns the number of fingerprints of candidates, with repetitions.
+func fingerprintCount(candidates []Candidate) int {
+	n := 0
+	for _, c := range candidates {
+		n += len(c.Fingerprints)
+	}
+	return n
+}
+
+// fingerprintCount returns the number of fingerprints of all crashes, with repetitions.
+func (e *Evidence) fingerprintCount() int {
+	n := 0
+	for _, c := range e.Crashes {
+		n += fingerprintCount(c.Candidates)
+	}
+	return n
 }
 
 func (e *Evidence) indexOf(id string) int {
@@ -306,7 +333,7 @@
 	if e.Version != evidenceVersion {
 		return fmt.Errorf("unsupported version %d", e.Version)
 	}
-	if len(e.Crashes) > maxStoredCrashes || len(e.Sound) > maxSoundMarks || len(e.Trials) > maxTrials {
+	if len(e.Crashes) > maxStoredCrashes || e.fingerprintCount() > maxStoredFingerprints || len(e.Sound) > maxSoundMarks || len(e.Trials) > maxTrials {
 		return errTooMuchEvidence
 	}
 	last := int64(0)
--- a/internal/suspect/evidence_test.go
+++ b/internal/suspect/evidence_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,6 +90,21 @@
 	}
 }
 
+// Guards against a cause that is never blocked because it is far behind in a long prompt.
+func TestCauseInLongPromptIsBlocked(t *testing.T) {
+	const deadly = 900
+	e := Evidence{}
+	for i := range uint64(3) {
+		prompt := []uint64{}
+		for part := range uint64(1200) {
+			prompt = append(prompt, 10_000*(i+1)+part) // parts of this request alone
+		}
+		prompt[1100] = deadly
+		e.addCrash(Crash{ID: fmt.Sprint("s/", i), At: int64(i) * 1000, Candidates: []Candidate{begun(prompt...), begun(prompt[:1000]...)}})
+	}
+	qt.Assert(t, blockedOf(e, DefaultPolicy()), qt.DeepEquals, []uint64{deadly})
+}
+
 // Guards against crashes that count although a request was answered since, and against a cause
 // whose end makes its crashes count against other fingerprints.
 func TestSoundMarks(t *testing.T) {
@@ -128,6 +144,9 @@
 	}
 }
 
+// maxRelayMessageBytes is the size of the messages that relays accept from gates.
+const maxRelayMessageBytes = 512 << 10
+
 // Guards against merges that depend on how often a report arrives, and against a block that is
 // lost because further crashes exceed the bound.
 func TestEvidenceIsBounded(t *testing.T) {
@@ -143,8 +162,25 @@
 	c.Assert(blockedOf(e, DefaultPolicy()), qt.DeepEquals, []uint64{2})
 	e.prune(DefaultPolicy(), func(Crash) bool { return true })
 	c.Assert(e.Crashes, qt.HasLen, 3)
+	long := make([]uint64, 2*maxFingerprints)
+	for i := range uint64(40) {
+		for part := range long {
+			long[part] = math.MaxUint64 - (10_000*(i+1) + uint64(part))
+		}
+		e.addCrash(Crash{ID: fmt.Sprint("u", i), At: int64(300_000 + 1000*i), Candidates: []Candidate{waiting(long...), waiting(long[1:]...)}})
+		e.prune(DefaultPolicy(), never)
+	}
+	c.Assert(e.fingerprintCount() <= maxStoredFingerprints, qt.IsTrue)
+	c.Assert(len(e.Crashes) > 3, qt.IsTrue)
+	for _, crash := range e.Crashes[3:] {
+		for _, f := range crash.Candidates[0].Fingerprints {
+			e.addSound(SoundMark{Fingerprint: f, UpTo: e.LastNumber, ClosedUpTo: e.LastNumber})
+		}
+	}
+	e.prune(DefaultPolicy(), never)
 	raw, err := e.Encode()
 	c.Assert(err, qt.IsNil)
+	c.Assert(len(raw) < maxRelayMessageBytes, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
 	decoded, err := DecodeEvidence(raw)
 	c.Assert(err, qt.IsNil)
 	c.Assert(blockedOf(decoded, DefaultPolicy()), qt.DeepEquals, []uint64{2})
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -74,7 +74,7 @@
 		return false
 	}
 	// Of the crashes before the last clearing, only the newest are kept.
-	e.evidence.dropExcess(2*maxCrashes, func(Crash) int { return 0 })
+	e.evidence.dropExcess(2*maxCrashes, maxStoredFingerprints, func(Crash) int { return 0 })
 	e.lastChange = now
 	e.permittedAttempt = uuid.Nil
 	return true
