Block a repeated request after three crashes, whatever had arrived

Cause: without a byte of an answer a fingerprint was blocked after 5 counted crashes. Two servers that one request crashes, at the first and at the gate's own second attempt, count as one, so the fifth counted crash came 20 s after the first. The gate made that second attempt each time.

Change: a whole request is blocked after 3 counted crashes. A request that was in progress at an earlier crash and crashes a server again is not sent on, also without a byte of an answer or after an event.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -102,9 +102,10 @@
 }
 
 // causedCrash reports a crash if the server of a failed attempt no longer accepts connections. It
-// returns whether the request must not be sent to another server: its answer had begun, with no event
-// so far, and it was suspected before. Only if its answer had begun the check is made at once. A server
-// that has sent events beyond the beginning of the answer was not crashed by the request.
+// returns whether the request must not be sent to another server: it was in progress at an earlier
+// crash, or its answer had begun, with no event so far, and one of its fingerprints was suspected. Only
+// then the result of the check is waited for. A server that has sent events beyond the beginning of the
+// answer was not crashed by the request.
 func (p *proxyRequest) causedCrash(attempt *fleet.Attempt, err error) bool {
 	if !connectionEnded(err) {
 		return false
@@ -118,8 +119,14 @@
 	} else {
 		candidate.Begun = attempt.TimeToFirstByte() > 0
 	}
-	suspected := p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
-	if candidate.Begun && p.gate.reportIfCrashed(attempt.Server(), candidate) {
+	whole := candidate.Fingerprints[len(candidate.Fingerprints)-1:]
+	repeated := p.gate.opts.Quarantine.Suspected(whole)
+	if !repeated && !candidate.Begun {
+		go p.gate.checkCrash(attempt.Server(), candidate)
+		return false
+	}
+	suspected := repeated || p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
+	if p.gate.reportIfCrashed(attempt.Server(), candidate) {
 		return suspected
 	}
 	go p.gate.recheckCrash(attempt.Server(), candidate)
@@ -135,18 +142,20 @@
 	p.soundReported = true
 	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Answering: true}
 	go func() {
-		if !p.gate.recheckCrash(attempt.Server(), candidate) {
+		if !p.gate.checkCrash(attempt.Server(), candidate) {
 			p.gate.opts.Quarantine.ReportSound(candidate.Fingerprints)
 		}
 	}()
 }
 
-// recheckCrash checks for a crash at once and once more, because a server can end its connections
+// checkCrash checks for a crash at once and once more. It reports whether the server has crashed.
+func (g *Gate) checkCrash(s *fleet.Server, candidate suspect.Candidate) bool {
+	return g.reportIfCrashed(s, candidate) || g.recheckCrash(s, candidate)
+}
+
+// recheckCrash checks for a crash after crashRecheckDelay, because a server can end its connections
 // before it stops listening. It reports whether the server has crashed.
 func (g *Gate) recheckCrash(s *fleet.Server, candidate suspect.Candidate) bool {
-	if !candidate.Begun && g.reportIfCrashed(s, candidate) {
-		return true
-	}
 	time.Sleep(crashRecheckDelay)
 	return g.reportIfCrashed(s, candidate)
 }
--- a/internal/gate/quarantine_test.go
+++ b/internal/gate/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,6 +83,35 @@
 	f.c.Assert(f.quarantine.sound[0][0], qt.Equals, partID("a"))
 }
 
+// Guards against sending on a request that was in progress at an earlier crash and crashes a server again,
+// before its answer or after the first event.
+func TestRepeatedCrashingRequestNotSentOn(t *testing.T) {
+	for name, writeAnswer := range map[string]func(net.Conn, *http.Request){
+		"before the answer": func(net.Conn, *http.Request) {},
+		"after an event": func(conn net.Conn, r *http.Request) {
+			writeEventStreamHeader(conn, r)
+			writeEvents(conn, 1, 1)
+		},
+	} {
+		var f *fixture
+		var poison atomic.Bool
+		f = newFixture(t, func(n int, r *http.Request, conn net.Conn) bool {
+			if !poison.Load() {
+				return resumeStream(n, r, conn)
+			}
+			writeAnswer(conn, r)
+			time.Sleep(20 * time.Millisecond)
+			return f.crash(0, conn)
+		}, resumeStream)
+		whole := f.fingerprintsOf("/resume/", "a,b,own")[2]
+		f.quarantine.suspected = []uint64{whole}
+		poison.Store(true)
+		f.request("POST", "/resume/", "Parts", "a,b,own")
+		f.c.Check(f.servers[1].received(), qt.HasLen, 0, qt.Commentf("%s", name))
+		f.reportedCrashes(1)
+	}
+}
+
 // Guards against missing a crash by a request whose answer had sent its first event, and against taking
 // that event as proof that the request is sound. It also shows that the stream goes on elsewhere.
 func TestCrashAfterFirstEventReported(t *testing.T) {
--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -32,23 +32,30 @@
 }
 
 // threshold is the score at which a fingerprint is blocked.
-func (p Policy) threshold() int { return p.BegunCrashes * p.AnsweringCrashes * p.Crashes }
+func (p Policy) threshold() int {
+	return p.BegunCrashes * p.AnsweringCrashes * p.Crashes * p.RepeatCrashes
+}
 
-// weight is what a crash with a candidate adds to a score. As many crashes as the policy states
-// for its kind reach the threshold.
-func (p Policy) weight(c Candidate) int {
+// weight is what a crash with a candidate adds to the score of a fingerprint of it. As many crashes
+// as the policy states reach the threshold. whole means that the fingerprint is that of the whole
+// request.
+func (p Policy) weight(c Candidate, whole bool) int {
+	crashes := p.Crashes
 	switch {
 	case c.Begun:
-		return p.threshold() / p.BegunCrashes
+		crashes = p.BegunCrashes
 	case c.Answering:
-		return p.threshold() / p.AnsweringCrashes
+		crashes = p.AnsweringCrashes
+	}
+	if whole {
+		crashes = min(crashes, p.RepeatCrashes)
 	}
-	return p.threshold() / p.Crashes
+	return p.threshold() / crashes
 }
 
 // maxWeight is the most that a crash adds to a score.
 func (p Policy) maxWeight() int {
-	return p.threshold() / min(p.BegunCrashes, p.AnsweringCrashes, p.Crashes)
+	return p.threshold() / min(p.BegunCrashes, p.AnsweringCrashes, p.Crashes, p.RepeatCrashes)
 }
 
 // decide goes through the crashes in their order.
@@ -88,7 +95,7 @@
 func (d *decision) count(crash Crash, sound map[uint64]SoundMark) {
 	counted := map[uint64]bool{}
 	for _, candidate := range crash.Candidates {
-		for _, f := range candidate.Fingerprints {
+		for i, f := range candidate.Fingerprints {
 			if counted[f] || sound[f].UpTo >= crash.Number {
 				continue
 			}
@@ -98,7 +105,7 @@
 				s = &standing{}
 				d.standings[f] = s
 			}
-			s.add(crash, d.policy.weight(candidate), d.policy.MinSpacing.Milliseconds())
+			s.add(crash, d.policy.weight(candidate, i == len(candidate.Fingerprints)-1), d.policy.MinSpacing.Milliseconds())
 		}
 	}
 }
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -46,6 +46,9 @@
 	// had got their first event shortly before, as bystanders have more often, and Crashes the
 	// number for other requests. All kinds add up in proportion.
 	BegunCrashes, AnsweringCrashes, Crashes int
+	// RepeatCrashes is the number for a whole request, of whatever kind: one that is in progress at
+	// each of several crashes has been repeated, which few bystanders are.
+	RepeatCrashes int
 	// MinSpacing is the time within which crashes count once against a fingerprint: servers
 	// that crash together have a common cause other than a request.
 	MinSpacing time.Duration
@@ -61,7 +64,7 @@
 // DefaultPolicy returns the policy of the gates.
 func DefaultPolicy() Policy {
 	return Policy{
-		BegunCrashes: 3, AnsweringCrashes: 4, Crashes: 5, MinSpacing: 500 * time.Millisecond,
+		BegunCrashes: 3, AnsweringCrashes: 4, Crashes: 5, RepeatCrashes: 3, MinSpacing: 500 * time.Millisecond,
 		FirstTrial: 15 * time.Second, MaxTrial: time.Hour, TTL: time.Hour, MaxCrashes: maxStoredCrashes,
 	}
 }
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -32,7 +32,8 @@
 // the difference is a margin for routers that do not know of the second crash yet. Blocked
 // requests get no trials here: they expire.
 var policy = Policy{
-	BegunCrashes: crashesToBlock, AnsweringCrashes: crashesToBlock, Crashes: crashesToBlock, MaxCrashes: maxCrashes,
+	BegunCrashes: crashesToBlock, AnsweringCrashes: crashesToBlock, Crashes: crashesToBlock, RepeatCrashes: crashesToBlock,
+	MaxCrashes: maxCrashes,
 }
 
 // entry is the state of one fingerprint.
