Refuse requests that a planned stop might cut off

Cause: a stopping gate passed on every request that arrived on an open connection, however late, and closed all connections 0.7 s before the end of the grace.

Change: admission.Drain accepts a request in the first third of a drain, at most 2.5 s, and later only if its deadline is before the end. Others get 503 draining, not-run, and a Retry-After of 10 ms, after the last byte of their body. The warning at the end of a drain names the number of open connections, so that its in_progress 0 can be told from requests that were cut off.

TestLateRequestsOfDrainRefused fails without the check (scratch copy). The existing tests of drains now state its end, an hour ahead; their assertions are unchanged.

TestResponseCutAnywhereIsNotRelayed answers another report of operators, of servers that stop within the head of an answer: it cannot happen here, the test passed at once on the code before.

--- /dev/null
+++ b/internal/admission/drain.go
@@ -0,0 +1,24 @@
+package admission
+
+import "time"
+
+const (
+	// drainAcceptDivisor is the part of a drain in which all requests are accepted. A caller that
+	// does not know of the stop yet is served, and the rest of the drain suffices for most requests.
+	drainAcceptDivisor = 3
+	// maxDrainAccept bounds that part.
+	maxDrainAccept = 2500 * time.Millisecond
+	// drainMargin is the time that the answer to a request needs beyond its deadline.
+	drainMargin = 100 * time.Millisecond
+)
+
+// Drain is a planned stop of a process: requests in progress at its end are cut off.
+type Drain struct{ Began, Ends time.Time }
+
+// Accepts reports whether a request that has arrived whole is accepted. Later than the first part of
+// the drain, only one that is answered before the end in any case is: another process can serve
+// the others from the start, while here they might be cut off after they have run.
+func (d Drain) Accepts(arrived, deadline time.Time) bool {
+	accept := min(d.Ends.Sub(d.Began)/drainAcceptDivisor, maxDrainAccept)
+	return arrived.Sub(d.Began) <= accept || !deadline.Add(drainMargin).After(d.Ends)
+}
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -328,11 +328,13 @@
 
 // Drain prepares a planned stop: the gate reports that it is not ready, accepts connections
 // for deregistrationDelay, waits for the requests in progress and releases its quota shares.
+// Requests that might be in progress at the end are refused.
 // It logs what could not be completed in time and returns nil.
 func (g *Gate) Drain(ctx context.Context) error {
-	g.gate.Drain()
 	requestCtx, cancel := context.WithTimeout(ctx, g.current.Load().DrainTimeout.Std()-quotaReleaseTime)
 	defer cancel()
+	ends, _ := requestCtx.Deadline()
+	g.gate.Drain(ends)
 	select {
 	case <-time.After(deregistrationDelay):
 	case <-requestCtx.Done():
@@ -341,7 +343,7 @@
 		g.log.Warn("closing the listener for callers failed", "error", err)
 	}
 	if err := g.frontend.Shutdown(requestCtx); err != nil {
-		g.log.Warn("drain timeout exceeded with requests in progress", "in_progress", g.InProgress(), "error", err)
+		g.log.Warn("drain timeout exceeded", "in_progress", g.InProgress(), "error", err)
 	}
 	if err := g.reservations.Close(ctx); err != nil {
 		g.log.Warn("settling reservations failed", "error", err)
--- a/internal/gate/faults_test.go
+++ b/internal/gate/faults_test.go
@@ -110,7 +110,7 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	f.gate.Drain()
+	f.gate.Drain(time.Now().Add(time.Hour))
 	time.Sleep(50 * time.Millisecond)
 	close(deregistered)
 	f.c.Assert(f.frontend.StopAccepting(), qt.IsNil)
@@ -160,7 +160,7 @@
 	writeRaw(parts, request[:20])
 	writeRaw(kept, request[:20])
 	time.Sleep(50 * time.Millisecond)
-	f.gate.Drain()
+	f.gate.Drain(time.Now().Add(time.Hour))
 	f.c.Assert(f.frontend.StopAccepting(), qt.IsNil)
 	shutdown := make(chan error, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
@@ -196,6 +196,52 @@
 	return writeEventStreamHeader(conn, r) && writeEvents(conn, last+1, 5) && writeRaw(conn, "0\r\n\r\n")
 }
 
+// Guards against relaying a response as whole whose server stopped within its head, or before the end of its
+// body, wherever it was cut off.
+func TestResponseCutAnywhereIsNotRelayed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: id-1\r\nStamp: s\r\n"
+	for name, test := range map[string]struct{ path, response string }{
+		"length":         {"/unsafe/", head + "Content-Length: 12\r\n\r\ntwelve bytes"},
+		"chunks":         {"/unsafe/", head + "Transfer-Encoding: chunked\r\n\r\n6\r\ntwelve\r\n6\r\n bytes\r\n0\r\n\r\n"},
+		"stream":         {"/stream/", head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n11\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n"},
+		"unmarked":       {"/unsafe/", head + "Connection: close\r\n"},
+		"after a notice": {"/unsafe/", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + head},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, end := range []script{closeConn, resetConn} {
+				f := newFixture(t, func(n int, r *http.Request, conn net.Conn) bool {
+					writeRaw(conn, test.response[:n])
+					return end(n, r, conn)
+				})
+				for n := range test.response {
+					got := f.request("POST", test.path)
+					whole := got.err == nil && got.status < 300
+					f.c.Assert(whole, qt.IsFalse, qt.Commentf("cut after %d bytes: status %d, body %q", n, got.status, got.body))
+				}
+			}
+		})
+	}
+}
+
+// Guards against requests that a stopping gate accepts late, passes on and cuts off at the end of its
+// drain, and against refusing those that are answered before.
+func TestLateRequestsOfDrainRefused(t *testing.T) {
+	f := newFixture(t, respondOK)
+	f.c.Assert(f.request("POST", "/unsafe/").status, qt.Equals, 200)
+	f.gate.Drain(time.Now().Add(900 * time.Millisecond))
+	early := f.request("POST", "/unsafe/", "Deadline", "2s")
+	f.c.Assert(early.status, qt.Equals, 200)
+	time.Sleep(400 * time.Millisecond)
+	for _, path := range []string{"/unsafe/", "/safe/", "/stream/"} {
+		late := f.request("POST", path, "Deadline", "2s")
+		f.c.Check(late.status, qt.Equals, 503, qt.Commentf("%s", path))
+		f.c.Check(late.body, qt.Equals, "draining (not-run)\n")
+		f.c.Check(late.header.Get("Retry-After"), qt.Equals, "0.010")
+	}
+	f.c.Assert(f.servers[0].received(), qt.HasLen, 2)
+	f.c.Assert(f.request("POST", "/unsafe/", "Deadline", "200ms").status, qt.Equals, 200)
+}
+
 // A stalled stream that sends a byte or a comment now and then must be moved to another server
 // if it can be resumed, and end at its deadline otherwise.
 func TestTricklingStreamEnds(t *testing.T) {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -69,7 +69,7 @@
 	opts       Options
 	stats      stats
 	catalog    atomic.Pointer[catalog.Catalog]
-	draining   atomic.Bool
+	drain      atomic.Pointer[admission.Drain] // nil unless draining
 	inProgress atomic.Int64
 	memory     memoryLimit
 	// crashChecks merges concurrent checks of the same server, by its ID.
@@ -111,11 +111,11 @@
 func (g *Gate) InProgress() int { return int(g.inProgress.Load()) }
 
 // Drain makes the gate close callers' connections after the responses to all requests
-// that arrive from now on.
-func (g *Gate) Drain() { g.draining.Store(true) }
+// that arrive from now on, and refuse those that might be cut off at the end of the drain.
+func (g *Gate) Drain(ends time.Time) { g.drain.Store(&admission.Drain{Began: time.Now(), Ends: ends}) }
 
 // Draining reports whether Drain was called.
-func (g *Gate) Draining() bool { return g.draining.Load() }
+func (g *Gate) Draining() bool { return g.drain.Load() != nil }
 
 // retryBudget returns the retry budget of a service.
 func (g *Gate) retryBudget(service string) *admission.RetryBudget {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -266,7 +266,7 @@
 	results := make(chan callResult, 1)
 	go func() { results <- f.request("POST", "/unsafe/") }()
 	<-started
-	f.gate.Drain()
+	f.gate.Drain(time.Now().Add(time.Hour))
 	f.c.Assert(f.frontend.StopAccepting(), qt.IsNil)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -31,6 +31,9 @@
 	// retryAfterUnavailable is the Retry-After when no server is available or accepts the
 	// request, or when the memory for request bodies is exhausted.
 	retryAfterUnavailable = 300 * time.Millisecond
+	// retryAfterDraining is the Retry-After of a draining gate. Another gate can serve the caller
+	// at once.
+	retryAfterDraining = 10 * time.Millisecond
 )
 
 // Span names.
@@ -77,7 +80,7 @@
 	g.inProgress.Add(1)
 	defer g.inProgress.Add(-1)
 	g.stats.requests.Inc(1)
-	if g.draining.Load() || g.opts.Overload.Overloaded() {
+	if g.Draining() || g.opts.Overload.Overloaded() {
 		// Makes the caller reconnect, through the load balancer, to another gate.
 		w.Header().Set("Connection", "close")
 	}
@@ -148,7 +151,13 @@
 		}
 	}
 	p.deadline = p.requestDeadline()
-	return p.readBody()
+	if err := p.readBody(); err != nil {
+		return err
+	}
+	if drain := p.gate.drain.Load(); drain != nil && !drain.Accepts(time.Now(), p.deadline) {
+		return verdict.New(verdict.NotRun, verdict.CodeDraining, "the request might be cut off by a planned stop").WithRetryAfter(retryAfterDraining)
+	}
+	return nil
 }
 
 func (p *proxyRequest) authenticate() *verdict.Error {
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -65,20 +66,23 @@
 	return errors.Join(errs...)
 }
 
-// Drain waits until all connections are closed or ctx ends, whose error it returns then.
-// It makes the server close connections that wait for a request. The server must have
+// Drain waits until all connections are closed or ctx ends. Its error wraps that of ctx and names
+// the number of open connections. It makes the server close connections that wait for a request. The server must have
 // stopped accepting and must not be shutting down.
 func (s *Conns) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
-	for s.expireIdle(time.Now()) > 0 {
+	for {
+		open := s.expireIdle(time.Now())
+		if open == 0 {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return fmt.Errorf("%d connections are open: %w", open, ctx.Err())
 		case <-ticker.C:
 		}
 	}
-	return nil
 }
 
 // expireIdle ends the wait of connections for a request and returns the number of open
