Bound the retries of any span of 10 s

Cause: RetryBudget forgot the retries of a second 10 s after its begin. While requests go on failing, all gates use up their budgets in the same seconds, so the retries of two windows lie within one span of 10 s.

TestRetryBudget names the window of the requests now where it means that; its numbers are the same.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -274,12 +274,45 @@
 			}
 			return n
 		}
-		qt.Assert(t, allowed(), qt.Equals, minRetriesPerSecond*retryWindowSeconds)
+		const minRetries = minRetriesPerSecond * requestWindowSeconds
+		qt.Assert(t, allowed(), qt.Equals, minRetries)
 		for range 1000 {
 			b.CountRequest()
 		}
-		qt.Assert(t, allowed(), qt.Equals, 100-minRetriesPerSecond*retryWindowSeconds)
+		qt.Assert(t, allowed(), qt.Equals, 100-minRetries)
 		time.Sleep(retryWindowSeconds * time.Second)
-		qt.Assert(t, allowed(), qt.Equals, minRetriesPerSecond*retryWindowSeconds)
+		qt.Assert(t, allowed(), qt.Equals, minRetries)
 	})
 }
+
+// Guards against retries that pile up in a span of 10 s which begins within a second: while all
+// requests fail, the retries of the first second and of the eleventh fall into it.
+func TestRetriesOfAnySpanAreBounded(t *testing.T) {
+	const (
+		percent           = 17
+		requestsPerSecond = 80
+		span              = 10 * time.Second
+		step              = time.Second / requestsPerSecond
+	)
+	for offset := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			b := NewRetryBudgetWith(percent, 0)
+			var retries []time.Time
+			begin := time.Now().Add(15*time.Second + time.Duration(offset)*100*time.Millisecond)
+			for time.Since(begin) < 3*span {
+				b.CountRequest()
+				if time.Now().After(begin) && b.Allow() {
+					retries = append(retries, time.Now())
+				}
+				time.Sleep(step)
+			}
+			for i, first := range retries {
+				n := 0
+				for n < len(retries)-i && retries[i+n].Sub(first) <= span {
+					n++
+				}
+				qt.Assert(t, n <= percent*requestsPerSecond*int(span/time.Second)/100, qt.IsTrue, qt.Commentf("%d retries, offset %d", n, offset))
+			}
+		})
+	}
+}
