--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -142,15 +142,17 @@
 	p.soundReported = true
 	candidate := suspect.Candidate{Fingerprints: p.fingerprints(), Answering: true}
 	go func() {
-		if !p.gate.checkCrash(attempt.Server(), candidate) {
+		if !p.gate.recheckCrash(attempt.Server(), candidate) {
 			p.gate.opts.Quarantine.ReportSound(candidate.Fingerprints)
 		}
 	}()
 }
 
-// checkCrash checks for a crash at once and once more. It reports whether the server has crashed.
-func (g *Gate) checkCrash(s *fleet.Server, candidate suspect.Candidate) bool {
-	return g.reportIfCrashed(s, candidate) || g.recheckCrash(s, candidate)
+// checkCrash checks for a crash at once and once more.
+func (g *Gate) checkCrash(s *fleet.Server, candidate suspect.Candidate) {
+	if !g.reportIfCrashed(s, candidate) {
+		g.recheckCrash(s, candidate)
+	}
 }
 
 // recheckCrash checks for a crash after crashRecheckDelay, because a server can end its connections
