Give restarted gates no second retry budget

What services saw: more repeats within 10 s than the limit allows. Reproduced with real processes: while all servers fail, all gates are killed and start again, 608 repeats in a span, 454 allowed.

Cause: a new process begins with a fresh budget, although the one before has used up that of the last 10 s.

Change: in the first 10 s of a gate's process only the fixed number of retries applies, not the share of the requests. The same cause on a related path: a change of the limits by SIGHUP reset the counts; it keeps them now.

TestRetriesAfterRestartAreBounded covers the decision. Whether this was the cause in the users' run is suspected, not shown.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -296,7 +296,7 @@
 	)
 	for offset := range 10 {
 		synctest.Test(t, func(t *testing.T) {
-			b := NewRetryBudgetWith(percent, 0)
+			b := NewRetryBudgetWith(percent, 0, time.Time{})
 			var retries []time.Time
 			begin := time.Now().Add(15*time.Second + time.Duration(offset)*100*time.Millisecond)
 			for time.Since(begin) < 3*span {
@@ -316,3 +316,28 @@
 		})
 	}
 }
+
+// Guards against a process that is killed with its budget used up and whose successor begins with a
+// fresh one.
+func TestRetriesAfterRestartAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const minRetries = 5
+		b := NewRetryBudgetWith(17, minRetries, time.Now())
+		allowed := func() (n int) {
+			for range 1000 {
+				b.CountRequest()
+			}
+			for b.Allow() {
+				n++
+			}
+			return n
+		}
+		qt.Assert(t, allowed(), qt.Equals, minRetries)
+		time.Sleep((requestWindowSeconds - 1) * time.Second)
+		qt.Assert(t, allowed(), qt.Equals, 0)
+		b.SetLimits(17, 2*minRetries) // must not reset what was counted
+		qt.Assert(t, allowed(), qt.Equals, minRetries)
+		time.Sleep(time.Second)
+		qt.Assert(t, allowed() > 2*minRetries, qt.IsTrue)
+	})
+}
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -24,18 +24,20 @@
 // on the time of day, which may jump. It is safe for concurrent use. No other lock is acquired
 // while its mutex is held.
 type RetryBudget struct {
+	created time.Time
+	// percentFrom is when the percentage begins to apply.
+	percentFrom time.Time
+
+	mu sync.Mutex
 	// percent is the number of retries allowed per 100 requests in the window, and
 	// minRetries the number of retries in the window that is always allowed.
 	percent, minRetries int
-	started             time.Time
-
-	mu      sync.Mutex
-	buckets [retryWindowSeconds]bucket
+	buckets             [retryWindowSeconds]bucket
 }
 
 // bucket counts the requests and retries of one second of the window.
 type bucket struct {
-	second   int64 // since the budget was started
+	second   int64 // since the budget was created
 	requests int
 	retries  int
 }
@@ -43,13 +45,24 @@
 // NewRetryBudget returns a budget of 10% of the requests, or 3 retries per second if
 // that is more.
 func NewRetryBudget() *RetryBudget {
-	return NewRetryBudgetWith(retryPercent, minRetriesPerSecond*requestWindowSeconds)
+	return NewRetryBudgetWith(retryPercent, minRetriesPerSecond*requestWindowSeconds, time.Time{})
 }
 
 // NewRetryBudgetWith returns a budget of percent of the requests of the last 10 s, or
-// minRetries retries in that time if that is more.
-func NewRetryBudgetWith(percent, minRetries int) *RetryBudget {
-	return &RetryBudget{percent: percent, minRetries: minRetries, started: time.Now()}
+// minRetries retries in that time if that is more. In the first 10 s from processStarted on only
+// minRetries apply, because the process that this one replaces may have used up its budget.
+func NewRetryBudgetWith(percent, minRetries int, processStarted time.Time) *RetryBudget {
+	return &RetryBudget{
+		percent: percent, minRetries: minRetries, created: time.Now(),
+		percentFrom: processStarted.Add(requestWindowSeconds * time.Second),
+	}
+}
+
+// SetLimits replaces the limits. What was counted stays.
+func (b *RetryBudget) SetLimits(percent, minRetries int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.percent, b.minRetries = percent, minRetries
 }
 
 // CountRequest counts a started request.
@@ -73,7 +86,11 @@
 			retries += s.retries
 		}
 	}
-	if retries >= max(requests*b.percent/100, b.minRetries) {
+	limit := b.minRetries
+	if !time.Now().Before(b.percentFrom) {
+		limit = max(limit, requests*b.percent/100)
+	}
+	if retries >= limit {
 		return false
 	}
 	b.bucket(now).retries++
@@ -81,7 +98,7 @@
 }
 
 // second returns the current second by the monotonic clock, from 0 on.
-func (b *RetryBudget) second() int64 { return int64(time.Since(b.started) / time.Second) }
+func (b *RetryBudget) second() int64 { return int64(time.Since(b.created) / time.Second) }
 
 // bucket returns the bucket of a second, reset if it was of an earlier one. The caller holds b.mu.
 func (b *RetryBudget) bucket(second int64) *bucket {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -64,10 +64,11 @@
 }
 
 // Gate is an http.Handler that proxies requests to backend servers. It is safe for
-// concurrent use. No other lock is acquired while its mutex is held.
+// concurrent use. Of other locks only that of a RetryBudget is acquired while its mutex is held.
 type Gate struct {
 	opts       Options
 	stats      stats
+	started    time.Time
 	catalog    atomic.Pointer[catalog.Catalog]
 	drain      atomic.Pointer[admission.Drain] // nil unless draining
 	inProgress atomic.Int64
@@ -85,19 +86,18 @@
 // SetCatalog is called.
 func New(o Options) *Gate {
 	return &Gate{
-		opts: o, stats: newStats(o.Metrics), memory: memoryLimit{limit: o.MaxBufferedBytes}, retryBudgets: make(map[string]*admission.RetryBudget),
+		opts: o, stats: newStats(o.Metrics), started: time.Now(), memory: memoryLimit{limit: o.MaxBufferedBytes}, retryBudgets: make(map[string]*admission.RetryBudget),
 		retryPercent: o.RetryPercent, minRetries: o.MinRetries,
 	}
 }
 
-// SetRetryLimits replaces the RetryPercent and MinRetries that New got in its
-// Options. A change resets the counts of recent requests and retries.
+// SetRetryLimits replaces the RetryPercent and MinRetries that New got in its Options.
 func (g *Gate) SetRetryLimits(percent, minRetries int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if percent != g.retryPercent || minRetries != g.minRetries {
-		g.retryPercent, g.minRetries = percent, minRetries
-		clear(g.retryBudgets)
+	g.retryPercent, g.minRetries = percent, minRetries
+	for _, b := range g.retryBudgets {
+		b.SetLimits(percent, minRetries)
 	}
 }
 
@@ -123,7 +123,7 @@
 	defer g.mu.Unlock()
 	b := g.retryBudgets[service]
 	if b == nil {
-		b = admission.NewRetryBudgetWith(g.retryPercent, g.minRetries)
+		b = admission.NewRetryBudgetWith(g.retryPercent, g.minRetries, g.started)
 		g.retryBudgets[service] = b
 	}
 	return b
