--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -67,8 +67,8 @@
 }
 
 // Drain waits until all connections are closed or ctx ends. Its error wraps that of ctx and names
-// the number of open connections. It makes the server close connections that wait for a request. The server must have
-// stopped accepting and must not be shutting down.
+// the number of open connections. It makes the server close connections that wait for a request.
+// The server must have stopped accepting and must not be shutting down.
 func (s *Conns) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
