Log requests that the end of a drain cuts off as such

Cause: a request cut off when a drain ends had the code canceled, as if its caller had left, so the log could not tell late requests, waits for a reservation and slow callers apart. Change: such a request has the code draining and is counted (drain_cuts). The request line has drain_ms in a planned stop, reserve_ms, and write_ms for the time blocked in writes.

--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -201,6 +201,27 @@
 	frontend   *Frontend
 	url        string
 	client     *http.Client
+	logged     *logLines
+}
+
+// logLines holds what a gate has logged.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// String returns all lines.
+func (l *logLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
 }
 
 // testRoutes returns the routes of the fixture. Tests select a route by its path
@@ -229,8 +250,8 @@
 
 func newFixture(t testing.TB, scripts ...script) *fixture {
 	c := qt.New(t)
-	f := &fixture{c: c, table: fleet.NewTable(), quarantine: &fakeQuarantine{}, reserver: &fakeReserver{}, client: &http.Client{Transport: &http.Transport{}}}
-	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	f := &fixture{c: c, table: fleet.NewTable(), quarantine: &fakeQuarantine{}, reserver: &fakeReserver{}, client: &http.Client{Transport: &http.Transport{}}, logged: &logLines{}}
+	log := slog.New(slog.NewTextHandler(f.logged, nil))
 	registry := metrics.NewRegistry()
 	f.gate = New(Options{
 		Domain: "d0", Region: "r", Regions: map[string]string{"d0": "r"}, Servers: f.table, Reserver: f.reserver,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -117,6 +117,12 @@
 // Draining reports whether Drain was called.
 func (g *Gate) Draining() bool { return g.drain.Load() != nil }
 
+// drained reports whether a drain has ended, which closes all callers' connections.
+func (g *Gate) drained() bool {
+	drain := g.drain.Load()
+	return drain != nil && !time.Now().Before(drain.Ends)
+}
+
 // retryBudget returns the retry budget of a service.
 func (g *Gate) retryBudget(service string) *admission.RetryBudget {
 	g.mu.Lock()
--- a/internal/gate/log.go
+++ b/internal/gate/log.go
@@ -33,6 +33,15 @@
 	if len(p.attemptRecords) > 0 {
 		attributes = append(attributes, slog.Any("attempts", p.attemptRecords), slog.Bool("may_have_run", p.mayHaveRun), slog.Int("events", p.stream.eventCount))
 	}
+	if p.reserveTime > 0 {
+		attributes = append(attributes, slog.Int64("reserve_ms", p.reserveTime.Milliseconds()))
+	}
+	if p.stream.writeTime > 0 {
+		attributes = append(attributes, slog.Int64("write_ms", p.stream.writeTime.Milliseconds()))
+	}
+	if drain := p.gate.drain.Load(); drain != nil {
+		attributes = append(attributes, slog.Int64("drain_ms", time.Since(drain.Began).Milliseconds()))
+	}
 	if p.requestInfo.LastEventID != "" {
 		attributes = append(attributes, slog.String("resumes_after", p.requestInfo.LastEventID))
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -28,6 +28,7 @@
 	continued           metrics.Counter
 	serverCrashes       metrics.Counter
 	callersDisconnected metrics.Counter
+	drainCuts           metrics.Counter // requests cut off at the end of a drain
 	events              metrics.Counter
 	firstByte           metrics.Timer
 	duration            metrics.Timer
@@ -47,7 +48,7 @@
 	return stats{
 		registry: r, requests: counter("requests"), attempts: counter("attempts"), retries: counter("retries"),
 		retriesDenied: counter("retries_denied"), mismatchedResponses: counter("foreign_answers"), streamsResumed: counter("streams_resumed"),
-		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), serverCrashes: counter("server_crashes"), callersDisconnected: counter("callers_left"), events: counter("events"),
+		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), serverCrashes: counter("server_crashes"), callersDisconnected: counter("callers_left"), drainCuts: counter("drain_cuts"), events: counter("events"),
 		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"), membership: newMembershipStats(r),
 	}
 }
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -67,6 +67,7 @@
 	attemptsSent       int      // attempts that got a connection to send the request
 	mayHaveRun         bool     // an attempt ended with another verdict than NotRun
 	attemptRecords     []attemptRecord
+	reserveTime        time.Duration // for the reservation, 0 if none was needed
 	stream             streamState
 	// pending holds responses that can be continued, besides the one that is being read.
 	pending []*pendingResponse
@@ -110,6 +111,10 @@
 		reservation.Settle(p.consumedTokens())
 	}
 	g.stats.observeDuration(p.started)
+	if !complete && g.drained() {
+		g.stats.drainCuts.Inc(1)
+		p.code, p.detail = verdict.CodeDraining, "cut off at the end of the drain"
+	}
 	p.log()
 	if !complete {
 		// Aborting the connection shows the caller that the response is incomplete.
@@ -223,6 +228,8 @@
 	if !p.requestInfo.TokensDeclared {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request does not declare its tokens")
 	}
+	started := time.Now()
+	defer func() { p.reserveTime = time.Since(started) }()
 	ctx, span := telemetry.StartSpan(p.r.Context(), spanReserve)
 	reservation, err := p.gate.opts.Reserver.Reserve(ctx, prepaid.ReservationRequest{
 		Workspace: p.workspace.Name, Paid: p.workspace.PrepaidTokens, Version: p.catalog.Version,
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -41,6 +41,8 @@
 	answeredSince time.Time
 	// commentBytes is the size of the comments since the last event.
 	commentBytes int
+	// writeTime is the time in which writes to the caller were blocked.
+	writeTime time.Duration
 }
 
 var errNotContiguous = errors.New("resumed stream does not continue with the next event")
@@ -284,10 +286,13 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if _, err := p.w.Write(events); err != nil {
-		return err
+	writing := time.Now()
+	_, err := p.w.Write(events)
+	if err == nil {
+		err = control.Flush()
 	}
-	if err := control.Flush(); err != nil {
+	p.stream.writeTime += time.Since(writing)
+	if err != nil {
 		return err
 	}
 	p.stream.eventCount += count
