Keep the fixed retries of all gates within the slack

Cause: each gate could always make a tenth of the retry slack of the whole fleet, whatever the number of gates, and a restarted gate began with that number again. With many gates and few requests at each, or gates that start again, the sum went beyond the limit.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -43,11 +43,6 @@
 	// closeExpiredInterval is the interval at which expired idle connections to servers are
 	// closed.
 	closeExpiredInterval = time.Second
-	// retryShareFraction is the fraction of the configured retry share that gates use.
-	retryShareFraction = 0.85
-	// retrySlackDivisor divides the configured retry slack, which is for all gates together,
-	// into the slack of one gate.
-	retrySlackDivisor = 10
 	// bufferMemoryDivisor divides the gate's memory into the limit on buffered bodies and
 	// events.
 	bufferMemoryDivisor = 16
@@ -71,6 +66,7 @@
 	pool         *upstream.Pool
 	overload     *overload.Detector
 	gate         *gate.Gate
+	retries      *retryLimits
 	frontend     *gate.Frontend
 	readiness    net.Listener
 	suspects     *suspect.Shared
@@ -104,16 +100,16 @@
 		Gate: g.fallback.Owner(), QuotaServers: g.allRelays, Workspaces: g.workspaces, Dial: relay.TCPDialer(), Fallback: g.fallback, Log: log, Metrics: registry,
 	})
 	g.suspects = suspect.NewShared(suspect.SharedOptions{Key: suspectsKey, Store: st, Log: log, Metrics: registry})
-	percent, minRetries := retryLimits(s.Gate)
 	g.gate = gate.New(gate.Options{
 		Domain: s.Domain, Region: s.Region, Regions: s.Gate.Regions,
 		Servers: g.servers, Reserver: g.reservations, Pool: g.pool, Quarantine: g.suspects, Protocol: platform.Protocol{}, Policy: placement.DefaultPolicy(),
-		RetryPercent: percent, MinRetries: minRetries,
 		MaxBufferedBytes: int64(s.Gate.MemoryMB) << 20 / bufferMemoryDivisor,
 		Overload:         g.overload, Log: log, Metrics: registry,
 	})
+	g.retries = newRetryLimits(s.Gate, g.gate.SetRetryLimits, registry, log)
 	watches := watchcache.NewClient(watchcache.ClientOptions{
-		Gate: g.fallback.Owner(), Domain: s.Domain, Servers: g.domainRelays, Direct: st, Dial: relay.TCPDialer(), Log: log, Metrics: registry,
+		Gate: g.fallback.Owner(), Domain: s.Domain, Servers: g.domainRelays, Direct: st, OnGates: g.retries.reportGates,
+		Dial: relay.TCPDialer(), Log: log, Metrics: registry,
 	})
 	g.configMirror = mirror.New(mirror.Options{Prefix: platform.ConfigPrefix, Store: watches, OnChange: g.applyConfig, Log: log})
 	g.serverMirror = mirror.New(mirror.Options{
@@ -305,7 +301,7 @@
 // applied without a restart, but the drain still ends at the timeout of the start if that
 // is shorter.
 func (g *Gate) Reload(s settings.Settings) bool {
-	g.gate.SetRetryLimits(retryLimits(s.Gate))
+	g.retries.configure(s.Gate)
 	g.current.Store(&s)
 	g.updateRelays()
 	after := s
@@ -317,12 +313,6 @@
 	return reflect.DeepEqual(after, before)
 }
 
-// retryLimits returns this gate's part of the configured retry limits: the percentage of
-// requests that may be retried and the number of retries that is always allowed.
-func retryLimits(s settings.Gate) (percent, minRetries int) {
-	return int(s.RetryShare * retryShareFraction * 100), int(s.RetrySlack / retrySlackDivisor)
-}
-
 // InProgress returns the number of requests in progress.
 func (g *Gate) InProgress() int { return g.gate.InProgress() }
 
--- a/internal/watchcache/client.go
+++ b/internal/watchcache/client.go
@@ -24,6 +24,9 @@
 	Servers func() []string
 	// Direct calls the store itself.
 	Direct relay.PollingStore
+	// OnGates is called with the number of gates that a server has counted, unless it does not know
+	// it. It may be nil.
+	OnGates func(gates int)
 	// Dial opens connections to servers.
 	Dial    relay.DialFunc
 	Log     *slog.Logger
@@ -176,6 +179,9 @@
 		if err != nil && ctx.Err() != nil {
 			return none, false // the store replied first
 		}
+		if err == nil && reply.result().Gates > 0 && c.opts.OnGates != nil {
+			c.opts.OnGates(reply.result().Gates)
+		}
 		if err == nil && reply.result().Alone {
 			c.setAlone(time.Now().Add(aloneInterval))
 			c.notePath(prefix, "", "too few gates")
--- a/internal/watchcache/messages.go
+++ b/internal/watchcache/messages.go
@@ -43,7 +43,8 @@
 	// minGates is the number of gates from which on sharing makes fewer calls than watching
 	// alone, since a Server polls more often.
 	minGates = 4
-	// gateTTL is how long a gate counts after its last call. aloneInterval is how long a gate
+	// gateTTL is how long a gate counts after its last call, and how long a server without gates counts
+	// before it knows all of them. aloneInterval is how long a gate
 	// watches alone after a Server told it to; it is shorter, so that such gates count.
 	gateTTL       = 10 * time.Second
 	aloneInterval = 3 * time.Second
@@ -73,6 +74,9 @@
 type Result struct {
 	// Alone is set if too few gates ask for sharing to pay.
 	Alone bool
+	// Gates is the number of gates that have called lately, 0 if the server does not know all of them
+	// yet or is of a version that does not count them.
+	Gates int
 	// Age tells how old the entries are: all changes made more than Age ago are in them.
 	Age time.Duration
 	// Failure is why the server has no entries.
--- a/internal/watchcache/server.go
+++ b/internal/watchcache/server.go
@@ -75,7 +75,9 @@
 	if err != nil {
 		return err
 	}
-	if reply.Alone = s.gates.join(args.Gate, time.Now()) < minGates; reply.Alone {
+	reply.Alone = s.gates.join(args.Gate, time.Now()) < minGates
+	defer func() { reply.Gates = s.gates.known(time.Now()) }()
+	if reply.Alone {
 		return nil
 	}
 	batch, age := f.next(s.ctx, args.Revision)
@@ -93,7 +95,9 @@
 	if err != nil {
 		return err
 	}
-	if reply.Alone = s.gates.join(args.Gate, time.Now()) < minGates; reply.Alone {
+	reply.Alone = s.gates.join(args.Gate, time.Now()) < minGates
+	defer func() { reply.Gates = s.gates.known(time.Now()) }()
+	if reply.Alone {
 		return nil
 	}
 	snapshot, age, err := f.list(s.ctx)
@@ -109,6 +113,8 @@
 type gateSet struct {
 	mu     sync.Mutex
 	lastAt map[string]time.Time
+	// since is when the first gate joined that found no other.
+	since time.Time
 }
 
 // join adds a gate and returns the number of gates.
@@ -118,10 +124,9 @@
 	if g.lastAt == nil {
 		g.lastAt = make(map[string]time.Time)
 	}
-	for name, at := range g.lastAt {
-		if now.Sub(at) >= gateTTL {
-			delete(g.lastAt, name)
-		}
+	g.removeOld(now)
+	if len(g.lastAt) == 0 {
+		g.since = now
 	}
 	if _, ok := g.lastAt[gate]; ok || len(g.lastAt) < maxGates {
 		g.lastAt[gate] = now
@@ -129,6 +134,27 @@
 	return len(g.lastAt)
 }
 
+// known returns the number of gates, 0 if some may not have called yet: those that called another
+// server before do so within gateTTL of the first.
+func (g *gateSet) known(now time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.removeOld(now)
+	if now.Sub(g.since) < gateTTL {
+		return 0
+	}
+	return len(g.lastAt)
+}
+
+// removeOld removes the gates that have not called lately. The caller holds g.mu.
+func (g *gateSet) removeOld(now time.Time) {
+	for name, at := range g.lastAt {
+		if now.Sub(at) >= gateTTL {
+			delete(g.lastAt, name)
+		}
+	}
+}
+
 // feedFor returns the feed of a prefix. It fails if the call could not have come from a gate that
 // works, or if the server is draining.
 func (s *Server) feedFor(gate, prefix string, revision int64) (*feed, error) {
--- a/internal/watchcache/simulation_test.go
+++ b/internal/watchcache/simulation_test.go
@@ -195,6 +195,16 @@
 
 	mu      sync.Mutex
 	version int
+	counts  []int // the numbers of gates that servers reported
+}
+
+// takeCounts returns the numbers of gates reported since the last call.
+func (g *testGate) takeCounts() []int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := g.counts
+	g.counts = nil
+	return counts
 }
 
 func (g *testGate) currentVersion() int {
@@ -239,6 +249,11 @@
 	g := &testGate{link: &link{Store: d.mem, wait: 3 * time.Second}}
 	g.client = NewClient(ClientOptions{
 		Gate: name, Domain: "d", Servers: d.addresses, Direct: g.link, Dial: d.dial, Log: discardLogger, Metrics: metrics.NewRegistry(),
+		OnGates: func(gates int) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.counts = append(g.counts, gates)
+		},
 	})
 	g.mirror = mirror.New(mirror.Options{Prefix: testPrefix, Store: g.client, Log: discardLogger, OnChange: func(s mirror.State) {
 		version, err := strconv.Atoi(string(s.Entries[testKey].Value))
