Keep what a restarted server said before its entry was listed

Cause: a gate noted a Retry-After or Server-Leaving at the lifetime that it knew. A server that restarts under its ID can say so before its first entry is written; when the entry with another start time arrived, the new lifetime began with an empty record.

Change: the lifetimes of an ID share what was said, with the address and the time at which the connection was opened. A server that ends closes its connections, so what was heard on a connection opened since the start time in the entry belongs to the new lifetime, also if it is heard after the entry. What was heard on older connections, or at another address, does not, so a sound server is used again.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -120,15 +120,16 @@
 
 // Apply replaces the entries and returns the differences. A server that was restarted
 // or whose draining state has changed starts with no health history. What a server has said
-// of its membership holds until its start time changes.
+// of its membership holds until its start time changes, and then as far as it said so since its start.
 func (t *Table) Apply(entries []Entry) []Change {
 	var changes []Change
+	now := time.Now()
 	servers := make(map[string]*Server, len(entries))
 	byService := make(map[string][]*Server)
 	listed := make(map[membership.Instance]bool, len(entries))
 	for _, e := range entries {
 		listed[e.instance()] = true
-		s, kind := t.resolve(e)
+		s, kind := t.resolve(e, now)
 		if kind != "" {
 			changes = append(changes, Change{e, kind})
 		}
@@ -143,7 +144,7 @@
 		}
 	}
 	t.servers = servers
-	t.members.EndListing(listed, time.Now())
+	t.members.EndListing(listed, now)
 	for _, list := range byService {
 		assignRanks(list)
 	}
@@ -168,13 +169,13 @@
 // resolve returns the server of an entry and the kind of its change, empty if the
 // server keeps its entry. Only a restart (another start time, address or service)
 // and a change of the draining state replace the entry; other changes are ignored.
-func (t *Table) resolve(e Entry) (*Server, string) {
+func (t *Table) resolve(e Entry, now time.Time) (*Server, string) {
 	stats := t.stats[e.Service]
 	if stats == nil {
 		stats = &serviceStats{}
 		t.stats[e.Service] = stats
 	}
-	member := t.members.Member(e.instance())
+	member := t.members.Member(e.instance(), e.Address, now)
 	old := t.servers[e.ID]
 	switch {
 	case old == nil:
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -334,7 +334,7 @@
 			continue
 		}
 		attempt.FirstByte(time.Now())
-		p.gate.updateMembership(attempt.Server(), response.StatusCode, info)
+		p.gate.updateMembership(attempt.Server(), conn, response.StatusCode, info)
 		return p.handleResponse(conn, response, info, attempt)
 	}
 	conn.Discard()
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -54,22 +54,23 @@
 // updateMembership records what a response says about the membership of its server. It must
 // be called as soon as the head has been read, so that the body does not delay the effect. A
 // misdirected request was answered by another instance.
-func (g *Gate) updateMembership(s *fleet.Server, status int, info ResponseInfo) {
+func (g *Gate) updateMembership(s *fleet.Server, conn *upstream.Conn, status int, info ResponseInfo) {
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
-	if info.Leaving && s.Member().Leave() {
+	source := membership.Source{Address: s.Address, OpenedAt: conn.OpenedAt()}
+	if info.Leaving && s.Member().Leave(source) {
 		g.stats.membership.leaving.Inc(1)
 		g.opts.Log.Info("server is leaving", "server", s.ID, "service", s.Service, "address", s.Address, "cause", "response")
 	}
 	if status == http.StatusServiceUnavailable && info.NotRun {
-		g.updateRest(s, info, time.Now())
+		g.updateRest(s, source, info, time.Now())
 	}
 }
 
 // updateRest records the rest that a server asks for in a refusal. An invalid request for a
 // rest has no effect.
-func (g *Gate) updateRest(s *fleet.Server, info ResponseInfo, now time.Time) {
+func (g *Gate) updateRest(s *fleet.Server, source membership.Source, info ResponseInfo, now time.Time) {
 	if info.RetryAfterErr != nil {
 		g.stats.membership.invalidRests.Inc(1)
 		if s.Member().ReportInvalid(now) {
@@ -77,7 +78,7 @@
 		}
 		return
 	}
-	change, until := s.Member().Rest(info.RetryAfter, now)
+	change, until := s.Member().Rest(source, info.RetryAfter, now)
 	switch change {
 	case membership.RestUnchanged:
 		return
--- a/internal/route/server.go
+++ b/internal/route/server.go
@@ -117,7 +117,7 @@
 // lifetime returns what the server has said of its membership in its present lifetime.
 func (s *server) lifetime() *membership.Member {
 	if s.member == nil {
-		s.member = &membership.Member{}
+		s.member = membership.NewMember()
 	}
 	return s.member
 }
@@ -191,7 +191,7 @@
 func (s *server) setLoad(load wire.Load) {
 	s.load, s.sentSinceLoad = load, 0
 	if load.Draining {
-		s.lifetime().Leave()
+		s.lifetime().Leave(membership.Source{})
 	}
 }
 
@@ -264,7 +264,7 @@
 func (s *server) recordRefusal(now time.Time, res Result) {
 	switch res.Code {
 	case verdict.CodeDraining:
-		s.lifetime().Leave()
+		s.lifetime().Leave(membership.Source{})
 	case verdict.CodeOverloaded, verdict.CodeRateLimited, verdict.CodeDeadlineExceeded, verdict.CodeCanceled,
 		verdict.CodeFenced:
 		s.failures = 0
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -88,6 +88,8 @@
 	head   *headLimiter
 	reader *bufio.Reader // reads from head
 	reused bool          // carried another request before
+	// openedAt is when the connection had been opened.
+	openedAt time.Time
 	// idleTimeout is how long the server keeps an idle connection open, 0 if unknown.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -102,13 +104,18 @@
 
 func newConn(pool *Pool, address string, conn net.Conn) *Conn {
 	head := &headLimiter{conn: conn}
-	return &Conn{pool: pool, address: address, Conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}
+	return &Conn{
+		pool: pool, address: address, Conn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferBytes), openedAt: time.Now(),
+	}
 }
 
 // Reused reports whether the connection carried another request before. Only then can
 // a late response to another request arrive on it.
 func (c *Conn) Reused() bool { return c.reused }
 
+// OpenedAt returns when the connection had been opened.
+func (c *Conn) OpenedAt() time.Time { return c.openedAt }
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // Send writes a request. It fails with ErrNotSent if nothing was written. A large
