Answer the requests in progress before the end of a drain

Cause: at the end of a drain all callers' connections were closed. A request that waited for its reservation, for a connection or for a response got no answer, and its caller could not tell whether it had run. A request that no server got, or whose body is still arriving, is refused with draining; one that was passed on gets server-lost with the verdict unknown. No attempt starts after that.

--- a/internal/admission/drain_test.go
+++ b/internal/admission/drain_test.go
@@ -21,6 +21,7 @@
 		{"late, long", 8 * time.Second, 2700 * time.Millisecond, 6 * time.Second, false},
 		{"late in a long drain", time.Minute, 4 * time.Second, time.Hour, false},
 		{"late, ends in time", 8 * time.Second, 5 * time.Second, 2 * time.Second, true},
+		{"late, ends within the margin", 8 * time.Second, 5 * time.Second, 2900 * time.Millisecond, false},
 		{"late, ends with the drain", 8 * time.Second, 6 * time.Second, 2 * time.Second, false},
 		{"short drain", 900 * time.Millisecond, 400 * time.Millisecond, time.Second, false},
 		{"past the end", 8 * time.Second, 9 * time.Second, time.Millisecond, false},
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -134,7 +134,7 @@
 		return nil, ""
 	}
 	server, reason := p.choose()
-	if server == nil || time.Until(p.deadline) < minRemaining {
+	if server == nil || p.ctx.Err() != nil || time.Until(p.deadline) < minRemaining {
 		return nil, ""
 	}
 	if p.attemptsSent > 0 && !retryBudget.Allow() {
@@ -147,7 +147,7 @@
 // canRetry reports whether the request may be sent to another server after an
 // attempt with the given outcome.
 func (p *proxyRequest) canRetry(out outcome) bool {
-	if p.attemptsSent >= p.route.MaxAttempts || out.crashed || p.r.Context().Err() != nil {
+	if p.attemptsSent >= p.route.MaxAttempts || out.crashed || p.ctx.Err() != nil {
 		return false
 	}
 	return out.verdict == verdict.NotRun && !p.mayHaveRun || p.route.Idempotent() && p.canResume()
@@ -169,7 +169,9 @@
 		p.writeResponse(last.response, last.body)
 		return true
 	case p.mayHaveRun:
-		p.refuse(unknownOutcomeError(last))
+		p.refuse(p.unknownOutcomeError(last))
+	case p.drainEnds():
+		p.refuse(drainRefusal("the drain ended before a server got the request"))
 	case last == nil:
 		p.refuse(verdict.New(verdict.NotRun, verdict.CodeNoServer, "no server is available").WithRetryAfter(p.retryAfter()))
 	default:
@@ -179,7 +181,10 @@
 }
 
 // unknownOutcomeError returns the error of a request that may have run.
-func unknownOutcomeError(last *outcome) *verdict.Error {
+func (p *proxyRequest) unknownOutcomeError(last *outcome) *verdict.Error {
+	if p.drainEnds() {
+		return verdict.New(verdict.Unknown, verdict.CodeServerLost, "the drain ended before the response began")
+	}
 	if last != nil && last.code == verdict.CodeDeadlineExceeded {
 		return verdict.New(verdict.Unknown, verdict.CodeDeadlineExceeded, "the server did not respond before the deadline")
 	}
@@ -193,7 +198,7 @@
 	record := attemptRecord{Server: s.ID, Reason: reason, AwaitingFirstByte: s.AwaitingFirstByte()}
 	p.attemptedServerIDs = append(p.attemptedServerIDs, s.ID)
 	p.gate.stats.attempts.Inc(1)
-	_, span := telemetry.StartSpan(p.r.Context(), spanAttempt,
+	_, span := telemetry.StartSpan(p.ctx, spanAttempt,
 		attribute.String("monsoon.server", s.ID), attribute.String("monsoon.reason", string(reason)))
 	attempt := s.Begin(p.promptClass(), started)
 	out := p.roundTrip(s, attempt)
@@ -243,7 +248,7 @@
 
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
-	ctx := p.r.Context()
+	ctx := p.ctx
 	conn, err := p.connectAdmitted(ctx, attempt)
 	if err != nil {
 		return p.connectFailure(err)
@@ -282,7 +287,7 @@
 func (p *proxyRequest) connectFailure(err error) outcome {
 	result := fleet.Unreachable
 	switch {
-	case p.r.Context().Err() != nil, errors.Is(err, errNotAdmitted):
+	case p.ctx.Err() != nil, errors.Is(err, errNotAdmitted):
 		result = fleet.Canceled
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		result = fleet.Shed
@@ -390,7 +395,7 @@
 	out := outcome{result: fleet.ConnectionFailed, verdict: verdict.Unknown, code: verdict.CodeServerLost, err: err}
 	var netErr net.Error
 	switch {
-	case p.r.Context().Err() != nil:
+	case p.ctx.Err() != nil:
 		out.result = fleet.Canceled
 	case errors.Is(err, errMemoryUsedUp):
 		out.result = fleet.Canceled // the server did not fail
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -86,15 +86,20 @@
 }
 
 // fakeReserver refuses every reservation with the error refuse. If that is nil,
-// requests proceed without a reservation.
+// requests proceed without a reservation. If silent is set, it waits until the request is canceled.
 type fakeReserver struct {
 	mu     sync.Mutex
 	refuse error
+	silent bool
 }
 
-func (r *fakeReserver) Reserve(context.Context, prepaid.ReservationRequest) (prepaid.Reservation, error) {
+func (r *fakeReserver) Reserve(ctx context.Context, _ prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.silent {
+		<-ctx.Done()
+		return nil, verdict.New(verdict.NotRun, verdict.CodeCanceled, "canceled")
+	}
 	return nil, r.refuse
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -66,11 +66,14 @@
 // Gate is an http.Handler that proxies requests to backend servers. It is safe for
 // concurrent use. Of other locks only that of a RetryBudget is acquired while its mutex is held.
 type Gate struct {
-	opts       Options
-	stats      stats
-	started    time.Time
-	catalog    atomic.Pointer[catalog.Catalog]
-	drain      atomic.Pointer[admission.Drain] // nil unless draining
+	opts    Options
+	stats   stats
+	started time.Time
+	catalog atomic.Pointer[catalog.Catalog]
+	drain   atomic.Pointer[admission.Drain] // nil unless draining
+	// drainEnds is canceled by endDrain when the requests in progress must be answered.
+	drainEnds  context.Context
+	endDrain   context.CancelFunc
 	inProgress atomic.Int64
 	memory     memoryLimit
 	// crashChecks merges concurrent checks of the same server, by its ID.
@@ -85,7 +88,9 @@
 // New returns a gate without a configuration. It refuses all requests until
 // SetCatalog is called.
 func New(o Options) *Gate {
+	drainEnds, endDrain := context.WithCancel(context.Background())
 	return &Gate{
+		drainEnds: drainEnds, endDrain: endDrain,
 		opts: o, stats: newStats(o.Metrics), started: time.Now(), memory: memoryLimit{limit: o.MaxBufferedBytes}, retryBudgets: make(map[string]*admission.RetryBudget),
 		retryPercent: o.RetryPercent, minRetries: o.MinRetries,
 	}
@@ -110,19 +115,6 @@
 // InProgress returns the number of requests in progress.
 func (g *Gate) InProgress() int { return int(g.inProgress.Load()) }
 
-// Drain makes the gate close callers' connections after the responses to all requests
-// that arrive from now on, and refuse those that might be cut off at the end of the drain.
-func (g *Gate) Drain(ends time.Time) { g.drain.Store(&admission.Drain{Began: time.Now(), Ends: ends}) }
-
-// Draining reports whether Drain was called.
-func (g *Gate) Draining() bool { return g.drain.Load() != nil }
-
-// drained reports whether a drain has ended, which closes all callers' connections.
-func (g *Gate) drained() bool {
-	drain := g.drain.Load()
-	return drain != nil && !time.Now().Before(drain.Ends)
-}
-
 // retryBudget returns the retry budget of a service.
 func (g *Gate) retryBudget(service string) *admission.RetryBudget {
 	g.mu.Lock()
--- a/internal/gate/pending.go
+++ b/internal/gate/pending.go
@@ -100,7 +100,7 @@
 	if r.response != nil {
 		out.verdict = verdict.Ran
 	}
-	if p.r.Context().Err() != nil || time.Until(p.deadline) < minRemaining {
+	if p.ctx.Err() != nil || time.Until(p.deadline) < minRemaining {
 		r.conn.Discard()
 		return out, false
 	}
@@ -131,7 +131,7 @@
 		if c := p.pollPending(); c != nil {
 			return c, r.setDeadline(r.deadline)
 		}
-		if err := p.r.Context().Err(); err != nil || !time.Now().Before(r.deadline) {
+		if err := p.ctx.Err(); err != nil || !time.Now().Before(r.deadline) {
 			return r, errPollTimeout
 		}
 	}
--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -70,7 +70,7 @@
 
 // quarantined returns the refusal of a request that may crash its server, nil if it may be sent.
 func (p *proxyRequest) quarantined() *verdict.Error {
-	err := p.gate.opts.Quarantine.Check(p.r.Context(), p.fingerprints())
+	err := p.gate.opts.Quarantine.Check(p.ctx, p.fingerprints())
 	if err == nil {
 		return nil
 	}
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -49,6 +50,9 @@
 	w       http.ResponseWriter
 	r       *http.Request
 	started time.Time
+	// ctx and unwatchDrain are set by watchDrain.
+	ctx          context.Context
+	unwatchDrain func() bool
 
 	requestInfo RequestInfo
 	catalog     *catalog.Catalog
@@ -88,6 +92,7 @@
 	ctx, span := telemetry.StartSpan(r.Context(), spanRequest)
 	p := &proxyRequest{gate: g, w: w, r: r.WithContext(ctx), started: time.Now(), memory: memoryReservation{limit: &g.memory}}
 	defer p.memory.release()
+	defer p.watchDrain()()
 	defer func() { telemetry.EndSpan(span, string(p.code)) }()
 	if err := p.admit(); err != nil {
 		p.refuse(err)
@@ -160,7 +165,7 @@
 		return err
 	}
 	if drain := p.gate.drain.Load(); drain != nil && !drain.Accepts(time.Now(), p.deadline) {
-		return verdict.New(verdict.NotRun, verdict.CodeDraining, "the request might be cut off by a planned stop").WithRetryAfter(retryAfterDraining)
+		return drainRefusal("the request might be cut off by a planned stop")
 	}
 	return nil
 }
@@ -200,8 +205,11 @@
 	control := http.NewResponseController(p.w)
 	// The error is ignored: the connection is closed, or the writer has no deadlines.
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	stop := context.AfterFunc(p.ctx, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := readBounded(p.r.Body, p.r.ContentLength, limit, &p.memory)
-	_ = control.SetReadDeadline(time.Time{})
+	if stop() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		p.body = body
 		return nil
@@ -213,6 +221,8 @@
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, errMemoryUsedUp):
 		return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "%v", err).WithRetryAfter(retryAfterUnavailable)
+	case p.drainEnds():
+		return drainRefusal("the drain ended before the whole request had arrived")
 	default:
 		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request body could not be read").WithCause(err)
 	}
@@ -230,7 +240,7 @@
 	}
 	started := time.Now()
 	defer func() { p.reserveTime = time.Since(started) }()
-	ctx, span := telemetry.StartSpan(p.r.Context(), spanReserve)
+	ctx, span := telemetry.StartSpan(p.ctx, spanReserve)
 	reservation, err := p.gate.opts.Reserver.Reserve(ctx, prepaid.ReservationRequest{
 		Workspace: p.workspace.Name, Paid: p.workspace.PrepaidTokens, Version: p.catalog.Version,
 		Bound: p.requestInfo.PromptTokens + p.requestInfo.MaxOutputTokens,
@@ -243,6 +253,9 @@
 	if !errors.As(err, &refusal) {
 		refusal = verdict.New(verdict.NotRun, verdict.CodeBudgetUnreachable, "the reservation failed").WithCause(err)
 	}
+	if refusal.Code == verdict.CodeCanceled && p.drainEnds() {
+		refusal = drainRefusal("the drain ended before the tokens were reserved")
+	}
 	return nil, refusal
 }
 
@@ -289,6 +302,9 @@
 	p.code, p.status, p.detail = err.Code, verdict.HTTPStatus(err.Code), err.Detail
 	header := p.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if p.drainEnds() {
+		header.Set("Connection", "close") // the request may have begun before the drain
+	}
 	if err.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -135,6 +135,9 @@
 	if p.exceedsStream(count, len(events)) {
 		return p.streamBroken(errStreamTooLong), false
 	}
+	if !p.stream.started && !p.beginStream() {
+		return p.streamBroken(errDrainEnds), false
+	}
 	if count > 0 || !p.stream.started {
 		p.discardPending() // this server has taken over, or its header is about to be sent
 	}
