Refuse streams that the end of a drain would cut off

Cause: in the first part of a drain every stream was accepted, also one that could not end before it. Its caller lost the answer, although another gate could have served it whole. Change: the gate keeps the mean time of a service's streams per declared event and the mean deviation, and Drain.Accepts refuses a stream that is not expected to end in time. Where fewer than 10 streams are known, and for resumed streams, it accepts as before.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -25,6 +25,7 @@
 	mu                  sync.Mutex
 	errorRate           float64
 	meanTimeToFirstByte [numPromptClasses]time.Duration
+	streams             streamTimes
 }
 
 func (s *serviceStats) currentErrorRate() float64 {
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/monsoonworks/monsoonworks/internal/admission"
+	"github.com/monsoonworks/monsoonworks/internal/catalog"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
@@ -52,6 +53,24 @@
 	return false
 }
 
+// declaredEvents returns the least number of events that hold the declared output tokens, 0 if none
+// are declared.
+func (p *proxyRequest) declaredEvents() int64 {
+	if !p.requestInfo.TokensDeclared || p.service.Engine == nil {
+		return 0
+	}
+	perEvent := int64(max(p.service.Engine.MaxTokensPerEvent, 1))
+	return (p.requestInfo.MaxOutputTokens + perEvent - 1) / perEvent
+}
+
+// expectedTime returns the time that the response is expected to take, 0 if unknown.
+func (p *proxyRequest) expectedTime() time.Duration {
+	if p.route.Kind != catalog.Stream || p.requestInfo.LastEventID != "" {
+		return 0
+	}
+	return p.gate.opts.Servers.ExpectedStreamTime(p.service.Name, p.promptClass(), p.declaredEvents())
+}
+
 // drainEnds reports whether the request must be answered now because of the end of a drain.
 func (p *proxyRequest) drainEnds() bool { return errors.Is(context.Cause(p.ctx), errDrainEnds) }
 
--- a/internal/gate/drain_end_test.go
+++ b/internal/gate/drain_end_test.go
@@ -133,3 +133,28 @@
 		f.c.Check(ended.After(ends.Add(-10*time.Millisecond)) && ended.Before(ends.Add(time.Second)), qt.IsTrue, qt.Commentf("%s: ended %v after the drain", path, ended.Sub(ends)))
 	}
 }
+
+// Guards against accepting a stream in a drain that will be cut off at its end, and against refusing one
+// that ends in time.
+func TestDrainRefusesLongStreams(t *testing.T) {
+	f := newFixture(t, func(_ int, r *http.Request, conn net.Conn) bool {
+		ok := writeEventStreamHeader(conn, r)
+		for id := 1; ok && id <= 10; id++ {
+			time.Sleep(10 * time.Millisecond)
+			ok = writeEvents(conn, id, id)
+		}
+		return ok && writeRaw(conn, "0\r\n\r\n")
+	})
+	const declared = "60" // tokens, of which an event holds up to 3
+	for range 12 {
+		f.c.Assert(f.request("POST", "/stream/", "Tokens", declared).err, qt.IsNil)
+	}
+	f.gate.Drain(time.Now().Add(1500 * time.Millisecond))
+	f.c.Check(f.request("POST", "/stream/", "Tokens", declared).status, qt.Equals, 200)
+	received := len(f.servers[0].received())
+	long := f.request("POST", "/stream/", "Tokens", "1800")
+	f.c.Check(long.status, qt.Equals, 503)
+	f.c.Check(long.body, qt.Equals, "draining (not-run)\n")
+	f.c.Check(f.request("POST", "/stream/", "Tokens", "1800", "Last-Event", "1").status, qt.Equals, 200)
+	f.c.Check(f.servers[0].received(), qt.HasLen, received+1)
+}
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -164,7 +164,7 @@
 	if err := p.readBody(); err != nil {
 		return err
 	}
-	if drain := p.gate.drain.Load(); drain != nil && !drain.Accepts(time.Now(), p.deadline) {
+	if drain := p.gate.drain.Load(); drain != nil && !drain.Accepts(time.Now(), p.deadline, p.expectedTime()) {
 		return drainRefusal("the request might be cut off by a planned stop")
 	}
 	return nil
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -324,6 +324,9 @@
 	if !p.stream.started {
 		p.writeStreamHeader(http.NewResponseController(p.w), r.response)
 	}
+	if !p.stream.resumed && p.requestInfo.LastEventID == "" {
+		r.attempt.StreamEnded(p.declaredEvents(), time.Now())
+	}
 	if hasMarkedEnd(r.response) {
 		p.reportSound()
 	} else {
