Accept streams whose length the declared one does not foretell

Cause: where streams are often much shorter than declared, the mean and two mean deviations refused nearly all streams that arrived late in a drain, to save few. Change: the deviation adds at most a quarter of the mean.

--- a/internal/fleet/streamtime.go
+++ b/internal/fleet/streamtime.go
@@ -8,9 +8,11 @@
 const (
 	// minStreamSamples is the number of complete streams from which the time of others is estimated.
 	minStreamSamples = 10
-	// streamDeviations is how many mean deviations above the mean a stream is expected to take. Most
-	// streams take less.
+	// streamDeviations is how many mean deviations above the mean a stream is expected to take, at most
+	// 1/deviationDivisor of the mean. Where lengths vary much, most streams end far sooner than the
+	// longest, and a refusal costs their callers a retry.
 	streamDeviations = 2
+	deviationDivisor = 4
 	// maxExpectedTime limits the expected time of a stream.
 	maxExpectedTime = time.Hour
 )
@@ -37,7 +39,8 @@
 	if t.samples < minStreamSamples {
 		return 0
 	}
-	seconds := (t.mean + streamDeviations*t.deviation) * float64(events)
+	perEvent := t.mean + min(streamDeviations*t.deviation, t.mean/deviationDivisor)
+	seconds := perEvent * float64(events)
 	return time.Duration(min(seconds, maxExpectedTime.Seconds()) * float64(time.Second))
 }
 
