Honor a rest that is asked for in a 503 without the not-run header

Cause: a rest was recorded only from a valid refusal. A 503 that does not say that the request has not run is an invalid response, and its Retry-After was ignored, though the server wants no requests.

Change: the Retry-After of a 503 counts with and without that header. What becomes of the request itself is unchanged.

--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -63,7 +63,7 @@
 		g.stats.membership.leaving.Inc(1)
 		g.opts.Log.Info("server is leaving", "server", s.ID, "service", s.Service, "address", s.Address, "cause", "response")
 	}
-	if status == http.StatusServiceUnavailable && info.NotRun {
+	if status == http.StatusServiceUnavailable {
 		g.updateRest(s, source, info, time.Now())
 	}
 }
