Send nothing if the deadline passes while a connection is opened

Cause: an attempt is begun only with time left, but opening its connection can take longer. The time left was negative then, and the request was sent without the deadline header, so the server had no limit.

Change: the time left is checked when the connection is open. The request counts as not run.

Measured: TestTimeoutPassedOn failed before (without the header: 77 of 100 requests with 50 ms, 21 of 100 with 150 ms, while opening a connection takes up to 200 ms) and passes now.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -246,6 +246,9 @@
 	fleet.Misdirected: "misdirected", fleet.Canceled: "abandoned",
 }
 
+// errDeadlinePassed means that the deadline passed before anything was sent.
+var errDeadlinePassed = errors.New("the deadline passed while a connection was opened")
+
 // roundTrip gets a connection, sends the request and handles the response.
 func (p *proxyRequest) roundTrip(s *fleet.Server, attempt *fleet.Attempt) outcome {
 	ctx := p.ctx
@@ -253,13 +256,18 @@
 	if err != nil {
 		return p.connectFailure(err)
 	}
+	info := p.forwardInfo(s)
+	if info.Timeout < minRemaining {
+		conn.Discard()
+		return outcome{result: fleet.Canceled, verdict: verdict.NotRun, code: verdict.CodeDeadlineExceeded, err: errDeadlinePassed}
+	}
 	if p.attemptsSent > 0 {
 		p.gate.stats.retries.Inc(1)
 	}
 	p.attemptsSent++
 	request := &upstream.Request{
 		Method: p.r.Method, Target: p.r.RequestURI, Host: p.r.Host, Body: p.body,
-		Header: p.gate.opts.Protocol.ForwardHeader(p.r.Header, p.forwardInfo(s)),
+		Header: p.gate.opts.Protocol.ForwardHeader(p.r.Header, info),
 	}
 	if err := conn.Send(ctx, request); errors.Is(err, upstream.ErrNotSent) {
 		conn.Discard()
