Give up large answers that the caller does not read

Cause: only streams had a deadline for writes. A caller that read nothing of a large answer held its memory, of which all callers share one limit, until it closed the connection. An answer that could not be written was logged and counted as complete. A failed write makes the request incomplete, and write_ms counts the time of the write. That time does not count towards the expected time of streams.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -166,8 +165,7 @@
 		p.code, p.detail = verdict.CodeServerLost, "the stream broke and cannot be resumed on another server"
 		return false
 	case last != nil && last.response != nil:
-		p.writeResponse(last.response, last.body)
-		return true
+		return p.writeResponse(last.response, last.body) == nil
 	case p.mayHaveRun:
 		p.refuse(p.unknownOutcomeError(last))
 	case p.drainEnds():
@@ -463,46 +461,3 @@
 	}
 	return false
 }
-
-// relayBuffered reads the complete response and relays it. A 5xx response is
-// returned in the outcome instead, because another server may succeed.
-func (p *proxyRequest) relayBuffered(conn *upstream.Conn, response *http.Response, info ResponseInfo) outcome {
-	if err := conn.SetResponseDeadline(p.deadline); err != nil {
-		conn.Discard()
-		return p.connectionLost(err)
-	}
-	body, err := readBounded(response.Body, response.ContentLength, maxResponseBytes, &p.memory)
-	conn.Release(response, err == nil && info.reusable(), info.IdleTimeout)
-	if err != nil {
-		return p.connectionLost(err)
-	}
-	if response.StatusCode >= http.StatusInternalServerError {
-		return outcome{
-			result: fleet.ServerError, verdict: verdict.Ran, code: verdict.CodeServerError,
-			response: response, body: body,
-		}
-	}
-	p.writeResponse(response, body)
-	ran := verdict.Ran
-	if info.NotRun {
-		ran = verdict.NotRun
-	} else {
-		p.reportSound()
-	}
-	return outcome{done: true, result: fleet.Answered, verdict: ran}
-}
-
-// writeResponse sends a buffered server response to the caller.
-func (p *proxyRequest) writeResponse(response *http.Response, body []byte) {
-	header := p.w.Header()
-	p.gate.opts.Protocol.CopyResponseHeader(header, response.Header)
-	if response.StatusCode != http.StatusNoContent && response.StatusCode != http.StatusNotModified && p.r.Method != http.MethodHead {
-		header["Content-Length"] = []string{strconv.Itoa(len(body))}
-	}
-	p.status = response.StatusCode
-	p.gate.stats.firstByte.UpdateSince(p.started)
-	p.w.WriteHeader(response.StatusCode)
-	// A write error means that the caller has disconnected; net/http closes the
-	// connection.
-	_, _ = p.w.Write(body)
-}
--- a/internal/gate/log.go
+++ b/internal/gate/log.go
@@ -36,8 +36,8 @@
 	if p.reserveTime > 0 {
 		attributes = append(attributes, slog.Int64("reserve_ms", p.reserveTime.Milliseconds()))
 	}
-	if p.stream.writeTime > 0 {
-		attributes = append(attributes, slog.Int64("write_ms", p.stream.writeTime.Milliseconds()))
+	if p.writeTime > 0 {
+		attributes = append(attributes, slog.Int64("write_ms", p.writeTime.Milliseconds()))
 	}
 	if drain := p.gate.drain.Load(); drain != nil {
 		attributes = append(attributes, slog.Int64("drain_ms", time.Since(drain.Began).Milliseconds()))
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -72,6 +72,7 @@
 	mayHaveRun         bool     // an attempt ended with another verdict than NotRun
 	attemptRecords     []attemptRecord
 	reserveTime        time.Duration // for the reservation, 0 if none was needed
+	writeTime          time.Duration // in which writes of the response were blocked
 	stream             streamState
 	// pending holds responses that can be continued, besides the one that is being read.
 	pending []*pendingResponse
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -41,8 +41,6 @@
 	answeredSince time.Time
 	// commentBytes is the size of the comments since the last event.
 	commentBytes int
-	// writeTime is the time in which writes to the caller were blocked.
-	writeTime time.Duration
 }
 
 var errNotContiguous = errors.New("resumed stream does not continue with the next event")
@@ -294,7 +292,7 @@
 	if err == nil {
 		err = control.Flush()
 	}
-	p.stream.writeTime += time.Since(writing)
+	p.writeTime += time.Since(writing)
 	if err != nil {
 		return err
 	}
@@ -325,7 +323,7 @@
 		p.writeStreamHeader(http.NewResponseController(p.w), r.response)
 	}
 	if !p.stream.resumed && p.requestInfo.LastEventID == "" {
-		r.attempt.StreamEnded(p.declaredEvents(), time.Now())
+		r.attempt.StreamEnded(p.declaredEvents(), time.Now().Add(-p.writeTime))
 	}
 	if hasMarkedEnd(r.response) {
 		p.reportSound()
