Leave the rest of slowly read responses to the kernel at the end of a drain

Cause: a caller that reads slowly keeps the gate from reading the rest of a stream, which its server has already sent. At the end of the drain that rest was lost. The kernel sends what the caller's socket holds also after the process has ended, but the buffer was too small for it.

--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -238,9 +238,15 @@
 }
 
 // Shutdown waits until all requests in progress have ended and closes connections when
-// they are idle. If ctx ends first, it closes the rest and returns the error of ctx.
+// they are idle. If ctx ends first, it closes the rest and returns the error of ctx. Shortly before
+// the end of the gate's drain it leaves as much as possible of the responses to the kernel.
 func (f *Frontend) Shutdown(ctx context.Context) error {
 	defer f.closeConns()
+	defer context.AfterFunc(f.gate.drainEnds, func() {
+		if err := f.conns.RaiseSendBuffers(); err != nil {
+			f.log.Debug("enlarging send buffers failed", "error", err)
+		}
+	})()
 	return f.conns.Drain(ctx)
 }
 
