Keep file descriptors for servers, and blame no server for their lack

Cause: callers' connections could use up all file descriptors of a gate. It could then open no connection to a server, and counted that as a failure of the server, which got no requests for 0.3 to 2 s. The log got 50 lines a second for connections that could not be accepted. At the limit, further ones wait in the backlog, and those that have waited for a request for over 1 s are closed. EMFILE and ENFILE do not count against a server. Warnings come every 10 s, with metrics.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -130,6 +130,7 @@
 		return fmt.Errorf("listener for callers: %w", err)
 	}
 	g.frontend = gate.NewFrontend(g.gate, listener, g.overload.CountBytes, g.log)
+	g.frontend.SetMaxConns(g.maxCallerConns())
 	g.readiness, err = net.Listen("tcp", g.settings.Gate.ReadyListen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("listener for readiness checks: %w", err), listener.Close())
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -295,6 +296,8 @@
 	switch {
 	case p.ctx.Err() != nil, errors.Is(err, errNotAdmitted):
 		result = fleet.Canceled
+	case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
+		result = fleet.Canceled // this process or host is out of file descriptors; the server did not fail
 	case errors.Is(err, upstream.ErrTooManyConnections):
 		result = fleet.Shed
 	}
--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/monsoonworks/monsoonworks/internal/catalog"
 	"github.com/monsoonworks/monsoonworks/internal/graceful"
 )
@@ -51,8 +53,10 @@
 	conns    *graceful.Conns
 	stopAt   atomic.Int64  // when Run ends at the latest, in Unix nanoseconds; 0 unless stopping
 	stopped  chan struct{} // closed when Run has returned
+	warnings *rate.Limiter // only Run uses it
 
 	maxHeaderBytes atomic.Int64
+	maxConns       atomic.Int64 // see SetMaxConns
 
 	mu            sync.Mutex
 	current       *connQueue // the queue of the newest server
@@ -62,7 +66,7 @@
 // NewFrontend returns a frontend that accepts on listener. wrap is applied to each
 // accepted connection.
 func NewFrontend(g *Gate, listener DeadlineListener, wrap func(net.Conn) net.Conn, log *slog.Logger) *Frontend {
-	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener, stopped: make(chan struct{}), conns: graceful.NewConns()}
+	f := &Frontend{gate: g, wrap: wrap, log: log, listener: listener, stopped: make(chan struct{}), warnings: rate.NewLimiter(rate.Every(warningInterval), 1), conns: graceful.NewConns()}
 	f.SetLimits(defaultLimits)
 	return f
 }
@@ -79,6 +83,10 @@
 	f.raiseHeaderCeiling(max(maxHeaderBytes, minHeaderCeiling))
 }
 
+// SetMaxConns limits the number of open connections, 0 for no limit. Further ones wait in the listener's
+// backlog, and connections that wait for a request are closed to make room.
+func (f *Frontend) SetMaxConns(n int) { f.maxConns.Store(int64(n)) }
+
 // raiseHeaderCeiling starts another HTTP server for new connections if the limit exceeds that
 // of the current one, because an http.Server's limits cannot change while it serves. The
 // earlier server keeps its connections.
@@ -148,6 +156,9 @@
 func (f *Frontend) Run() error {
 	defer close(f.stopped)
 	for {
+		if !f.awaitRoom() {
+			return f.listener.Close()
+		}
 		conn, err := f.listener.Accept()
 		if err == nil {
 			f.accepted(&graceful.Conn{Conn: f.wrap(conn)})
@@ -165,11 +176,27 @@
 		if f.stopAt.Load() != 0 && netErr.Timeout() {
 			return f.listener.Close()
 		}
-		f.log.Warn("accepting a caller's connection failed, retrying in 20 ms", "error", err)
+		if f.gate.stats.acceptFailures.Inc(1); f.warnings.Allow() {
+			f.log.Warn("accepting callers' connections fails, retrying every 20 ms", "error", err)
+		}
 		time.Sleep(acceptBackoff)
 	}
 }
 
+// awaitRoom waits until another connection may be accepted. It reports false if a shutdown ends the wait.
+func (f *Frontend) awaitRoom() bool {
+	for limit := f.maxConns.Load(); limit > 0 && !f.conns.MakeRoom(int(limit), minWaitAtLimit); limit = f.maxConns.Load() {
+		if stopAt := f.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() >= stopAt {
+			return false
+		}
+		if f.gate.stats.connLimitWaits.Inc(1); f.warnings.Allow() {
+			f.log.Warn("callers' connections have reached their limit, further ones wait", "limit", limit)
+		}
+		time.Sleep(acceptBackoff)
+	}
+	return true
+}
+
 // accepted passes on a new connection. A shutdown waits for it from now on: the server
 // reports a connection only some time after it has taken it.
 func (f *Frontend) accepted(conn *graceful.Conn) {
@@ -200,11 +227,14 @@
 	}
 }
 
-// acceptBackoff is the delay after a failed accept, for example when the process is
-// out of file descriptors.
-const acceptBackoff = 20 * time.Millisecond
-
 const (
+	// acceptBackoff is the delay after a failed accept, for example when the process is
+	// out of file descriptors, and between two looks for room.
+	acceptBackoff = 20 * time.Millisecond
+	// minWaitAtLimit is how long a connection may wait for a request while the limit is reached.
+	minWaitAtLimit = time.Second
+	// warningInterval is the least time between two warnings that connections cannot be accepted.
+	warningInterval = 10 * time.Second
 	// A stopping frontend accepts connections until none has arrived for backlogTime, at
 	// most for maxBacklogTime. The kernel has established those in the backlog, and closing
 	// the listener would reset them.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -29,6 +29,8 @@
 	serverCrashes       metrics.Counter
 	callersDisconnected metrics.Counter
 	drainCuts           metrics.Counter // requests cut off at the end of a drain
+	connLimitWaits      metrics.Counter // times that the limit of callers' connections was found reached
+	acceptFailures      metrics.Counter
 	events              metrics.Counter
 	firstByte           metrics.Timer
 	duration            metrics.Timer
@@ -49,6 +51,7 @@
 		registry: r, requests: counter("requests"), attempts: counter("attempts"), retries: counter("retries"),
 		retriesDenied: counter("retries_denied"), mismatchedResponses: counter("foreign_answers"), streamsResumed: counter("streams_resumed"),
 		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), serverCrashes: counter("server_crashes"), callersDisconnected: counter("callers_left"), drainCuts: counter("drain_cuts"), events: counter("events"),
+		connLimitWaits: counter("connection_limit_waits"), acceptFailures: counter("accept_failures"),
 		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"), membership: newMembershipStats(r),
 	}
 }
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -162,11 +162,16 @@
 	}
 }
 
-// expire ends the wait of an idle connection, and that of a new one after firstRequestTime.
-func (c *Conn) expire(now time.Time) {
+// expire ends the wait of a connection that has waited for a request for longer than minIdle, or, if
+// it is new, than minNew.
+func (c *Conn) expire(now time.Time, minNew, minIdle time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired || !c.waiting() || c.state == http.StateNew && now.Sub(c.since) <= firstRequestTime {
+	least := minIdle
+	if c.state == http.StateNew {
+		least = minNew
+	}
+	if c.expired || !c.waiting() || now.Sub(c.since) <= least {
 		return
 	}
 	c.expired = true
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -73,7 +73,7 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		open := s.expireIdle(time.Now())
+		open := s.expireIdle(time.Now(), firstRequestTime, 0)
 		if open == 0 {
 			return nil
 		}
@@ -85,13 +85,22 @@
 	}
 }
 
-// expireIdle ends the wait of connections for a request and returns the number of open
+// MakeRoom ends the wait of connections that have waited for a request for longer than minWait, if
+// as many connections as limit are open. It reports whether fewer are open.
+func (s *Conns) MakeRoom(limit int, minWait time.Duration) bool {
+	s.mu.Lock()
+	open := len(s.open)
+	s.mu.Unlock()
+	return open < limit || s.expireIdle(time.Now(), minWait, minWait) < limit
+}
+
+// expireIdle ends the wait of connections for a request, see Conn.expire. It returns the number of open
 // connections.
-func (s *Conns) expireIdle(now time.Time) int {
+func (s *Conns) expireIdle(now time.Time, minNew, minIdle time.Duration) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for conn := range s.open {
-		conn.expire(now)
+		conn.expire(now, minNew, minIdle)
 	}
 	return len(s.open)
 }
