End the wait for a reservation at the request's deadline

Cause: the deadline of a request bounded the attempts at backend servers, but not the reservation before them. With frozen quota servers it took two calls of 450 ms and 250 ms in the gate, also for a request whose body had arrived after its deadline.

Change: the reservation ends at the deadline. A request without time left is refused at once. A quota server that has not replied for 300 ms is put into backoff even if the request has ended, since short requests do not wait for the timeout of the call.

TestSilentServerOfShortRequests fails without the rule on backoff. The tests of internal/gate and internal/reserve pass, with -race -cpu 1 and without -race.

--- a/internal/gate/drain_end_test.go
+++ b/internal/gate/drain_end_test.go
@@ -63,7 +63,7 @@
 		body     string
 		received int
 	}{
-		"reservation":          {"/resume/", respondOK, func(f *fixture) { f.reserver.silent = true }, 503, refused, 0},
+		"reservation":          {"/resume/", respondOK, func(f *fixture) { f.reserver.delay = time.Minute }, 503, refused, 0},
 		"connection":           {"/safe/", respondOK, func(f *fixture) { f.gate.opts.Pool = upstream.NewPool(silentDialer{}, metrics.NewRegistry()) }, 503, refused, 0},
 		"order":                {"/unsafe/", silent, nil, 502, unknown, 1},
 		"repeatable":           {"/safe/", silent, nil, 502, unknown, 2},
--- a/internal/gate/fixture_test.go
+++ b/internal/gate/fixture_test.go
@@ -27,6 +27,7 @@
 	"github.com/monsoonworks/monsoonworks/internal/suspect"
 	"github.com/monsoonworks/monsoonworks/internal/upstream"
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
+	"github.com/monsoonworks/monsoonworks/internal/wait"
 )
 
 // testProtocol uses its own header names, so that the tests do not depend on a
@@ -85,19 +86,18 @@
 	}
 }
 
-// fakeReserver refuses every reservation with the error refuse. If that is nil,
-// requests proceed without a reservation. If silent is set, it waits until the request is canceled.
+// fakeReserver refuses every reservation with the error refuse, after delay. If that is nil,
+// requests proceed without a reservation.
 type fakeReserver struct {
 	mu     sync.Mutex
 	refuse error
-	silent bool
+	delay  time.Duration
 }
 
 func (r *fakeReserver) Reserve(ctx context.Context, _ prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.silent {
-		<-ctx.Done()
+	if !wait.Sleep(ctx, r.delay) {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeCanceled, "canceled")
 	}
 	return nil, r.refuse
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -230,8 +230,8 @@
 }
 
 // reserve reserves, from the workspace's quota, the maximum number of tokens that the
-// request can consume. It returns nil if the request has no workspace, the workspace no
-// quota or the service no engine.
+// request can consume. It waits at most until the deadline. It returns nil if the request has no
+// workspace, the workspace no quota or the service no engine.
 func (p *proxyRequest) reserve() (prepaid.Reservation, *verdict.Error) {
 	if p.workspace == nil || !p.workspace.Metered || p.service.Engine == nil {
 		return nil, nil
@@ -239,9 +239,14 @@
 	if !p.requestInfo.TokensDeclared {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeBadRequest, "the request does not declare its tokens")
 	}
+	if time.Until(p.deadline) < minRemaining {
+		return nil, reservationTimeout()
+	}
 	started := time.Now()
 	defer func() { p.reserveTime = time.Since(started) }()
 	ctx, span := telemetry.StartSpan(p.ctx, spanReserve)
+	ctx, cancel := context.WithDeadline(ctx, p.deadline)
+	defer cancel()
 	reservation, err := p.gate.opts.Reserver.Reserve(ctx, prepaid.ReservationRequest{
 		Workspace: p.workspace.Name, Paid: p.workspace.PrepaidTokens, Version: p.catalog.Version,
 		Bound: p.requestInfo.PromptTokens + p.requestInfo.MaxOutputTokens,
@@ -257,9 +262,17 @@
 	if refusal.Code == verdict.CodeCanceled && p.drainEnds() {
 		refusal = drainRefusal("the drain ended before the tokens were reserved")
 	}
+	if refusal.Code == verdict.CodeCanceled && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refusal = reservationTimeout()
+	}
 	return nil, refusal
 }
 
+// reservationTimeout returns the refusal of a request whose deadline ends before it has its reservation.
+func reservationTimeout() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeBudgetUnreachable, "no reservation before the deadline").WithRetryAfter(retryAfterUnavailable)
+}
+
 // spanCode returns the code with which a span ends, empty for success.
 func spanCode(err error) string {
 	if err == nil {
--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -22,6 +22,9 @@
 	// reserveTimeout limits one Reserve call. It is longer than the time that a request
 	// waits at the quota server for the server's share to grow.
 	reserveTimeout = 450 * time.Millisecond
+	// maxReplyTime is the time after which a call without a reply counts against the quota server even
+	// if the request has ended. It is longer than the same wait.
+	maxReplyTime = 300 * time.Millisecond
 	// serverBackoff is how long a quota server is not called after it did not reply.
 	serverBackoff = 1500 * time.Millisecond
 	// maxServerAttempts is the number of quota servers that are tried for one request, apart from
@@ -211,15 +214,25 @@
 }
 
 // noteFailure puts a quota server that did not reply into backoff and returns an error that
-// wraps errNoReply. If the caller of the request has disconnected, the error says so instead.
+// wraps errNoReply. If ctx has ended, the error says so instead, and an early end says nothing of the
+// server.
 func (c *Client) noteFailure(ctx context.Context, address string, start time.Time, err error) error {
-	if ctx.Err() != nil {
-		return verdict.New(verdict.NotRun, verdict.CodeCanceled, "the caller disconnected")
+	ended := ctx.Err()
+	if ended != nil && time.Since(start) < maxReplyTime {
+		return requestEnded(ended)
 	}
 	c.pool.MarkFailed(address)
 	if relay.Refused(err) {
 		return fmt.Errorf("%w: %w", errNoReply, err) // no relay runs there
 	}
 	c.opts.Log.Warn("quota server did not reply, in backoff", "holder", address, "after_ms", time.Since(start).Milliseconds(), "error", err)
+	if ended != nil {
+		return requestEnded(ended)
+	}
 	return fmt.Errorf("%w: %w", errNoReply, err)
 }
+
+// requestEnded returns the error of a request that ended before it had a reservation.
+func requestEnded(cause error) error {
+	return verdict.New(verdict.NotRun, verdict.CodeCanceled, "the request ended before it had a reservation").WithCause(cause)
+}
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -158,6 +158,28 @@
 	})
 }
 
+// Guards against a silent quota server that is asked again and again because no request waits for it
+// until the call's timeout.
+func TestSilentServerOfShortRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newSimulation(t, 5, 1, 3, 4_000_000)
+		reserve := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), maxReplyTime+50*time.Millisecond)
+			defer cancel()
+			r, err := s.gates[0].client.Reserve(ctx, s.reservationRequest(5000))
+			if err == nil {
+				r.Settle(0)
+			}
+			return err
+		}
+		s.firstServer().setUnresponsive(true)
+		c.Assert(reserve(), qt.ErrorMatches, "canceled .*")
+		c.Assert(reserve(), qt.IsNil)
+		s.stopAll()
+	})
+}
+
 // Guards against a refusal because the workspace's quota server cannot reach the store: it
 // replies that another one may grant the reservation, and the client tries that one.
 func TestServerWithoutStoreRefersElsewhere(t *testing.T) {
