Do not refuse requests because quota servers drain

Cause: the refusal of a draining quota server counted as one of the two attempts of a reservation. Two draining servers, or a draining and a silent one, made the gate refuse the request, though a third server or the gate itself could grant the reservation.

Change: the reply says that the server drains. The gate goes on with the next server, and grants the reservation itself if none is left, as it does when no server replies.

The tests of internal/reserve pass, with -race -cpu 1 and without -race, and those of internal/relay.

--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -28,7 +28,7 @@
 	// serverBackoff is how long a quota server is not called after it did not reply.
 	serverBackoff = 1500 * time.Millisecond
 	// maxServerAttempts is the number of quota servers that are tried for one request, apart from
-	// addresses that refuse connections. Together they are at most maxCandidates.
+	// addresses that refuse connections and servers that are draining. Together they are at most maxCandidates.
 	maxServerAttempts = 2
 	maxCandidates     = 10
 	// callSamples is the reservoir size and callDecay the decay factor of the histogram of
@@ -105,13 +105,17 @@
 	}
 }
 
-// errNoReply means that a quota server did not reply and that the next one can be tried.
-var errNoReply = errors.New("quota server did not reply")
+var (
+	// errNoReply means that a quota server did not reply and that the next one can be tried.
+	errNoReply = errors.New("quota server did not reply")
+	// errServerDraining means that a quota server stops, which says nothing of the balance.
+	errServerDraining = errors.New("quota server is draining")
+)
 
 // Reserve reserves req.Bound tokens at the quota server of the workspace's group. If that server
 // does not reply, or refuses with ReserveReply.Elsewhere set, the next server in the group's
-// ranking is tried, up to maxServerAttempts in all. If none replies, the fallback in this process
-// grants the reservation. The errors are those of prepaid.Manager.Reserve.
+// ranking is tried, up to maxServerAttempts in all; servers that are draining do not count. If none
+// replies or all are draining, the fallback in this process grants the reservation. The errors are those of prepaid.Manager.Reserve.
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
 	group, attempts := workspaceGroup(req.Workspace, c.opts.Workspaces()), 0
@@ -121,7 +125,7 @@
 			c.stats.granted.Inc(1)
 			return reservation, nil
 		}
-		if relay.Refused(err) {
+		if relay.Refused(err) || errors.Is(err, errServerDraining) {
 			continue
 		}
 		attempts++
@@ -207,6 +211,9 @@
 		remote.Settle(0)
 		return nil, true, c.noteFailure(ctx, address, start, err)
 	}
+	if reply.Draining {
+		return nil, true, errServerDraining
+	}
 	if err := reply.refusal(); err != nil {
 		return nil, reply.Elsewhere, err
 	}
--- a/internal/reserve/messages.go
+++ b/internal/reserve/messages.go
@@ -83,6 +83,8 @@
 	// is draining, currently fails to sync with the store, or has received a call with the ID
 	// before.
 	Elsewhere bool
+	// Draining is set if the quota server grants no more reservations because it stops.
+	Draining bool
 }
 
 // setRefusal fills in a refusal.
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -180,6 +180,34 @@
 	})
 }
 
+// Guards against refusals while quota servers drain, although another one or the gate itself could grant
+// the reservation.
+func TestDrainingServersDoNotRefuse(t *testing.T) {
+	for name, disable := range map[string]func(ranked []*quotaServer){
+		"all draining": func(ranked []*quotaServer) {
+			for _, server := range ranked {
+				server.server.Drain(t.Context())
+			}
+		},
+		"one silent, one draining": func(ranked []*quotaServer) {
+			ranked[0].setUnresponsive(true)
+			ranked[1].server.Drain(t.Context())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newSimulation(t, 6, 1, 3, 4_000_000)
+				disable(s.rankedServers())
+				r, err := s.gates[0].client.Reserve(t.Context(), s.reservationRequest(5000))
+				c.Assert(err, qt.IsNil)
+				r.Settle(0)
+				s.stopAll()
+			})
+		})
+	}
+}
+
 // Guards against a refusal because the workspace's quota server cannot reach the store: it
 // replies that another one may grant the reservation, and the client tries that one.
 func TestServerWithoutStoreRefersElsewhere(t *testing.T) {
--- a/internal/reserve/server.go
+++ b/internal/reserve/server.go
@@ -70,7 +70,10 @@
 	}
 }
 
-var errNotGranted = errors.New("the holder stops, or the reservation was given up")
+var (
+	errDraining = errors.New("the holder stops")
+	errKnownID  = errors.New("the reservation was given up or requested before")
+)
 
 // Reserve implements the RPC that requests a reservation.
 func (s *Server) Reserve(args *ReserveArgs, reply *ReserveReply) (err error) {
@@ -80,9 +83,10 @@
 		return err
 	}
 	s.settle(args.ID.Gate, args.Settled)
-	entry, ok := s.addEntry(args.ID)
-	if !ok {
-		reply.setRefusal(errNotGranted, true)
+	entry, err := s.addEntry(args.ID)
+	if err != nil {
+		reply.setRefusal(err, true)
+		reply.Draining = errors.Is(err, errDraining)
 		return nil
 	}
 	reservation, err := s.reserver.Reserve(s.ctx, args.Claim)
@@ -100,17 +104,20 @@
 	return nil
 }
 
-// addEntry records a requested reservation. It returns false if the reservation must not be
-// granted: the server is draining, or the reservation was requested or settled before.
-func (s *Server) addEntry(id ID) (*reservationEntry, bool) {
+// addEntry records a requested reservation. It fails if the reservation must not be granted: the
+// server is draining, or the reservation was requested or settled before.
+func (s *Server) addEntry(id ID) (*reservationEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || s.entries[id] != nil {
-		return nil, false
+	if s.draining {
+		return nil, errDraining
+	}
+	if s.entries[id] != nil {
+		return nil, errKnownID
 	}
 	entry := &reservationEntry{expiresAt: time.Now().Add(reservationTTL)}
 	s.entries[id] = entry
-	return entry, true
+	return entry, nil
 }
 
 func (s *Server) removeEntry(id ID) {
--- a/internal/reserve/simulation_test.go
+++ b/internal/reserve/simulation_test.go
@@ -190,15 +190,19 @@
 	return nil, syscall.ECONNREFUSED
 }
 
-// firstServer returns the quota server that ranks first for the workspace.
-func (s *simulation) firstServer() *quotaServer {
-	name := rendezvous.Rank(workspaceGroup("ws", 1), s.addresses(), 1)[0]
-	for _, server := range s.servers {
-		if server.name == name {
-			return server
+// firstServer returns the quota server of the workspace's group.
+func (s *simulation) firstServer() *quotaServer { return s.rankedServers()[0] }
+
+// rankedServers returns the quota servers in the ranking of the workspace's group.
+func (s *simulation) rankedServers() (ranked []*quotaServer) {
+	for _, name := range rendezvous.Rank(workspaceGroup("ws", 1), s.addresses(), len(s.servers)) {
+		for _, server := range s.servers {
+			if server.name == name {
+				ranked = append(ranked, server)
+			}
 		}
 	}
-	return nil
+	return ranked
 }
 
 func (s *simulation) reservationRequest(bound prepaid.Tokens) prepaid.ReservationRequest {
