Count crashes that a host with a slow clock reports

Cause: crashes within half a second count once, by the time in the first report of each. A time before the last crash did not count, so with a clock two hours behind every crash that its gate was the first to report was lost. Change: a gate whose clock is behind the latest known crash states that crash's time and the time since it learned of it.

--- a/internal/suspect/shared.go
+++ b/internal/suspect/shared.go
@@ -229,6 +229,7 @@
 	crash.Candidates = s.answers.unanswered(crash.Candidates, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	crash.At = s.alignedTime(crash.At, time.Now())
 	known := s.merged.clone()
 	if !known.addCrash(crash) {
 		return
@@ -242,6 +243,20 @@
 	s.refresh()
 }
 
+// alignedTime returns the time of a crash that is reported now. If the clock of this host is behind that
+// of the latest crash, the crash would not count, so that the time since this process knows of that one
+// is used instead. The caller holds s.mu.
+func (s *Shared) alignedTime(at int64, now time.Time) int64 {
+	if len(s.merged.Crashes) == 0 {
+		return at
+	}
+	latest := s.merged.Crashes[len(s.merged.Crashes)-1]
+	if at >= latest.At {
+		return at
+	}
+	return latest.At + now.Sub(s.knownSince[latest.ID]).Milliseconds()
+}
+
 // addPending adds a report, or merges it with one of the same crash. The caller holds s.mu.
 func (s *Shared) addPending(added *pendingCrash) {
 	i := slices.IndexFunc(s.crashes, func(p *pendingCrash) bool { return p.crash.ID == added.crash.ID })
