Keep requests without a head as candidates beside early heads

Cause: if any request at a crashed server had a head and no event, those without a head were left out of the candidates. Where servers send heads when they take a request, a request that crashes them before its head was thus never blocked. Change: no kind of candidate excludes another.

--- a/internal/suspect/decision.go
+++ b/internal/suspect/decision.go
@@ -94,7 +94,16 @@
 // count counts a crash once against each fingerprint of its candidates.
 func (d *decision) count(crash Crash, sound map[uint64]SoundMark) {
 	counted := map[uint64]bool{}
+	begun := 0
 	for _, candidate := range crash.Candidates {
+		if candidate.Begun {
+			begun++
+		}
+	}
+	for _, candidate := range crash.Candidates {
+		if begun > 1 { // a server that sends heads early, so that a head tells little
+			candidate.Begun = false
+		}
 		for i, f := range candidate.Fingerprints {
 			if counted[f] || sound[f].UpTo >= crash.Number {
 				continue
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -41,10 +41,10 @@
 
 // Policy decides when a fingerprint is blocked and when it is tried again.
 type Policy struct {
-	// BegunCrashes is the number of crashes after which a fingerprint is blocked if its
-	// requests had got the head of an answer and no event, AnsweringCrashes the number if they
-	// had got their first event shortly before, as bystanders have more often, and Crashes the
-	// number for other requests. All kinds add up in proportion.
+	// BegunCrashes is the number of crashes after which a fingerprint is blocked if its requests
+	// were the only ones at their servers that had got the head of an answer and no event,
+	// AnsweringCrashes the number if they had got their first event shortly before, as bystanders
+	// have more often, and Crashes the number for other requests. All kinds add up in proportion.
 	BegunCrashes, AnsweringCrashes, Crashes int
 	// RepeatCrashes is the number for a whole request, of whatever kind: one that is in progress at
 	// each of several crashes has been repeated, which few bystanders are.
@@ -190,6 +190,9 @@
 	return c.Begun == o.Begun && c.Answering == o.Answering && slices.Equal(c.Fingerprints, o.Fingerprints)
 }
 
+// ranks is the number of ranks of candidates.
+const ranks = 3
+
 // rank orders candidates: those that are most probably the cause come first.
 func (c Candidate) rank() int {
 	switch {
@@ -201,9 +204,9 @@
 	return 2
 }
 
-// mergeCandidates returns the union of the candidates, strong ones first. If the head of any
-// response had arrived without an event, the requests without a head cannot be the cause and
-// are left out.
+// mergeCandidates returns the union of the candidates, strong ones first. All kinds stay: servers may
+// send heads long before they begin to answer, so the head of one response does not clear the requests
+// without one.
 func mergeCandidates(known, added []Candidate) []Candidate {
 	merged := slices.Clone(known)
 	for _, c := range added {
@@ -221,17 +224,39 @@
 		merged[same].Begun = merged[same].Begun || c.Begun
 		merged[same].Answering = merged[same].Answering || c.Answering
 	}
-	if slices.ContainsFunc(merged, func(c Candidate) bool { return c.Begun }) {
-		merged = slices.DeleteFunc(merged, func(c Candidate) bool { return !c.strong() })
-	}
+	merged = boundCandidates(merged)
 	slices.SortStableFunc(merged, func(a, b Candidate) int { return cmp.Compare(a.rank(), b.rank()) })
-	merged = merged[:min(len(merged), maxCandidates)]
-	for len(merged) > 1 && fingerprintCount(merged) > maxFingerprints {
-		merged = merged[:len(merged)-1]
-	}
 	return merged
 }
 
+// boundCandidates drops candidates beyond maxCandidates and maxFingerprints. It keeps the first of each
+// kind, then the second of each, and so on, so that many candidates of one kind do not displace another.
+func boundCandidates(candidates []Candidate) []Candidate {
+	type turn struct {
+		Candidate
+		number int
+	}
+	turns := make([]turn, len(candidates))
+	seen := [ranks]int{}
+	for i, c := range candidates {
+		turns[i] = turn{c, seen[c.rank()]}
+		seen[c.rank()]++
+	}
+	slices.SortStableFunc(turns, func(a, b turn) int {
+		return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.rank(), b.rank()))
+	})
+	var kept []Candidate
+	fingerprints := 0
+	for _, t := range turns {
+		fingerprints += len(t.Fingerprints)
+		if len(kept) == maxCandidates || len(kept) > 0 && fingerprints > maxFingerprints {
+			break
+		}
+		kept = append(kept, t.Candidate)
+	}
+	return kept
+}
+
 // fingerprintCount returns the number of fingerprints of candidates, with repetitions.
 func fingerprintCount(candidates []Candidate) int {
 	n := 0
