Give new gates no fixed retries until the others have joined

Cause: a relay counts a gate from its first call on, so of gates that start together the first heard of few others and took too large a part of the retry slack. Change: a process has no fixed retries in its first 4 s.

--- a/internal/admission/fixedretries.go
+++ b/internal/admission/fixedretries.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// establishedDivisor divides the slack into the part of established processes, startingDivisor into
-	// that of processes that have just started.
-	establishedDivisor = 2
-	startingDivisor    = 4
+	// slackDivisor leaves a part of the slack to processes that replace killed ones within
+	// retryWindowSeconds.
+	slackDivisor = 2
+	// joinTime is the age from which on a process has fixed retries. The gates that started with it have
+	// called their relay by then, and it has heard of them.
+	joinTime = 4 * time.Second
 )
 
 // FixedRetries decides how many retries to each service a gate may make in retryWindowSeconds however
@@ -43,17 +45,11 @@
 func (f *FixedRetries) Gates() int { return f.gates }
 
 // Limit returns the number of fixed retries of a gate, given the slack of the fleet, the number of its
-// failure domains and the age of the gate's process. Established processes have half of the slack
-// together. The rest is for those that replace them, which have half as much in their first
-// retryWindowSeconds. A fraction is dropped: saved up over time, those of all gates could be spent at
-// once.
+// failure domains and the age of the gate's process. It is 0 before joinTime. A fraction is dropped: saved
+// up over time, those of all gates could be spent at once.
 func (f *FixedRetries) Limit(slack float64, domains int, age time.Duration) int {
-	if f.gates == 0 || domains <= 0 {
+	if f.gates == 0 || domains <= 0 || age < joinTime {
 		return 0
 	}
-	divisor := establishedDivisor
-	if age < retryWindowSeconds*time.Second {
-		divisor = startingDivisor
-	}
-	return int(slack / float64(domains*f.gates*divisor))
+	return int(slack / float64(domains*f.gates*slackDivisor))
 }
