Relay answers that find no memory as they arrive

Cause: an answer that is no stream is read whole before it is relayed. When the memory for bodies was used up, the rest was given up, and the caller got 502 although the server had run the request to a good end. Change: such an answer below 500 with a declared length is relayed as it arrives, with the deadline for writes of a stream; the metric responses_unbuffered counts them. One of unknown length still gets 502, as it may be endless.

--- a/internal/gate/memory.go
+++ b/internal/gate/memory.go
@@ -70,7 +70,7 @@
 
 // readBounded reads a body of at most limit bytes to its end. length is the declared
 // length, negative if it is unknown. It fails with errBodyTooLarge, errMemoryUsedUp or
-// an error of r.
+// an error of r. With errMemoryUsedUp it also returns what it has read.
 func readBounded(r io.Reader, length, limit int64, memory *memoryReservation) ([]byte, error) {
 	if length > limit {
 		return nil, errBodyTooLarge
@@ -95,9 +95,11 @@
 		case err != nil:
 			return nil, err
 		case len(body) == cap(body):
-			if body, err = growBuffer(body, min(2*int64(cap(body)), limit+1), memory); err != nil {
-				return nil, err
+			grown, err := growBuffer(body, min(2*int64(cap(body)), limit+1), memory)
+			if err != nil {
+				return body, err
 			}
+			body = grown
 		}
 	}
 }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -31,6 +31,7 @@
 	drainCuts           metrics.Counter // requests cut off at the end of a drain
 	connLimitWaits      metrics.Counter // times that the limit of callers' connections was found reached
 	acceptFailures      metrics.Counter
+	unbuffered          metrics.Counter // responses relayed as they arrived for lack of memory
 	events              metrics.Counter
 	firstByte           metrics.Timer
 	duration            metrics.Timer
@@ -51,7 +52,7 @@
 		registry: r, requests: counter("requests"), attempts: counter("attempts"), retries: counter("retries"),
 		retriesDenied: counter("retries_denied"), mismatchedResponses: counter("foreign_answers"), streamsResumed: counter("streams_resumed"),
 		streamsBroken: counter("streams_broken"), continued: counter("responses_continued"), serverCrashes: counter("server_crashes"), callersDisconnected: counter("callers_left"), drainCuts: counter("drain_cuts"), events: counter("events"),
-		connLimitWaits: counter("connection_limit_waits"), acceptFailures: counter("accept_failures"),
+		connLimitWaits: counter("connection_limit_waits"), acceptFailures: counter("accept_failures"), unbuffered: counter("responses_unbuffered"),
 		firstByte: timer("first_byte_seconds"), duration: timer("request_seconds"), membership: newMembershipStats(r),
 	}
 }
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -282,7 +282,7 @@
 func (p *proxyRequest) deliver(control *http.ResponseController, response *http.Response, events []byte, count int, lastID string) error {
 	if !p.stream.started {
 		p.stream.started = true
-		p.writeStreamHeader(control, response)
+		p.writeStreamHeader(response)
 	}
 	if len(events) == 0 {
 		return nil
@@ -307,20 +307,16 @@
 
 // writeStreamHeader sends a response header to the caller. A resumed stream continues
 // under the header that was sent first.
-func (p *proxyRequest) writeStreamHeader(control *http.ResponseController, response *http.Response) {
-	// The error is ignored: the connection is closed, or the writer has no deadlines.
-	_ = control.SetWriteDeadline(p.deadline.Add(writeMargin))
-	p.gate.opts.Protocol.CopyResponseHeader(p.w.Header(), response.Header)
-	p.status = response.StatusCode
-	p.gate.stats.firstByte.UpdateSince(p.started)
-	p.w.WriteHeader(response.StatusCode)
+func (p *proxyRequest) writeStreamHeader(response *http.Response) {
+	p.limitWrites()
+	p.writeHeader(response, unknownLength)
 }
 
 // streamCompleted returns the outcome of a stream that the server completed. It sends
 // the header of a stream without events.
 func (p *proxyRequest) streamCompleted(r *pendingResponse) outcome {
 	if !p.stream.started {
-		p.writeStreamHeader(http.NewResponseController(p.w), r.response)
+		p.writeStreamHeader(r.response)
 	}
 	if !p.stream.resumed && p.requestInfo.LastEventID == "" {
 		r.attempt.StreamEnded(p.declaredEvents(), time.Now().Add(-p.writeTime))
