Let attributed departures end, and honor rests in bare 503 responses

Cause: a departure that the lifetime before had announced counted for the restarted server if the gate's clock was ahead of the server's by more than 2 s, and for good, so that the gate never used the server again. And a 503 with Retry-After, but with neither a request ID nor the not-run header, was skipped on a kept connection, with the rest that it asks for. Both found by review. Change: a departure that another lifetime heard counts for a minute; what a lifetime itself heard counts for all of it, as before. A 503 without an ID counts for what it says of its server. TestStatementsOfRestartedServer states the minute; the rest in it is 30 s, to end before that.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -342,7 +342,7 @@
 		info := p.gate.opts.Protocol.ParseResponse(response.Header)
 		if p.isMismatched(info, response, conn.Reused()) {
 			p.gate.stats.mismatchedResponses.Inc(1)
-			if info.ID == "" && info.NotRun {
+			if info.ID == "" && (info.NotRun || response.StatusCode == http.StatusServiceUnavailable) {
 				// Whichever request it refuses, this server said so.
 				p.gate.updateMembership(attempt.Server(), conn, response.StatusCode, info)
 			}
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -58,13 +58,14 @@
 	if status == http.StatusMisdirectedRequest {
 		return
 	}
-	source := membership.Source{Address: s.Address, OpenedAt: conn.OpenedAt()}
+	now := time.Now()
+	source := membership.Source{Address: s.Address, OpenedAt: conn.OpenedAt(), HeardAt: now}
 	if info.Leaving && s.Member().Leave(source) {
 		g.stats.membership.leaving.Inc(1)
 		g.opts.Log.Info("server is leaving", "server", s.ID, "service", s.Service, "address", s.Address, "cause", "response")
 	}
 	if status == http.StatusServiceUnavailable {
-		g.updateRest(s, source, info, time.Now())
+		g.updateRest(s, source, info, now)
 	}
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -55,13 +55,15 @@
 func (m *Member) Leave(source Source) bool {
 	m.history.mu.Lock()
 	defer m.history.mu.Unlock()
-	changed := !m.isLeaving()
+	changed := !m.isLeaving(source.HeardAt)
 	m.leaving = true
 	m.history.addLeave(source)
 	return changed
 }
 
-func (m *Member) isLeaving() bool { return m.leaving || m.history.hasLeft(m.address, m.startedAt) }
+func (m *Member) isLeaving(now time.Time) bool {
+	return m.leaving || m.history.hasLeft(m.address, m.startedAt, now)
+}
 
 // restUntil returns the end of the last rest, zero if there was none.
 func (m *Member) restUntil() time.Time {
@@ -117,7 +119,7 @@
 	return m.accepts(now)
 }
 
-func (m *Member) accepts(now time.Time) bool { return !m.isLeaving() && !now.Before(m.restUntil()) }
+func (m *Member) accepts(now time.Time) bool { return !m.isLeaving(now) && !now.Before(m.restUntil()) }
 
 // Available reports whether Admit would admit a request now.
 func (m *Member) Available(now time.Time) bool {
@@ -167,7 +169,7 @@
 	defer m.history.mu.Unlock()
 	until := m.restUntil()
 	switch {
-	case m.isLeaving():
+	case m.isLeaving(now):
 		return time.Time{}, false
 	case now.Before(until):
 		return until, true
