Close no more idle connections than needed at the limit, and serve the backlog of a stop

Cause: at the limit of callers' connections all that had waited for over a second were closed to make room for one. While a frontend waited for room, the time to accept its backlog ran out, so that a stop reset connections although room came in time. A gate that could accept nothing stayed ready. Change: MakeRoom closes the connections that have waited longest, as many as are too many. The time to accept begins anew before each accept, within maxBacklogTime as before. A gate at the limit is not ready. Readiness at the limit has no test.

--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -284,9 +284,10 @@
 }
 
 // Ready reports whether the gate can serve callers: it has a configuration, its server
-// entries and the evidence of crashes are synced, and it is neither draining nor overloaded.
+// entries and the evidence of crashes are synced, and it is neither draining nor overloaded and can
+// accept connections.
 func (g *Gate) Ready() bool {
-	return g.gate.Catalog() != nil && g.serverMirror.Synced() && g.suspectMirror.Synced() && !g.gate.Draining() && !g.overload.Overloaded()
+	return g.gate.Catalog() != nil && g.serverMirror.Synced() && g.suspectMirror.Synced() && !g.gate.Draining() && !g.overload.Overloaded() && !g.frontend.Full()
 }
 
 // serveReady answers the load balancer's readiness checks.
--- a/internal/gate/frontend.go
+++ b/internal/gate/frontend.go
@@ -57,6 +57,7 @@
 
 	maxHeaderBytes atomic.Int64
 	maxConns       atomic.Int64 // see SetMaxConns
+	full           atomic.Bool  // the limit of connections is reached
 
 	mu            sync.Mutex
 	current       *connQueue // the queue of the newest server
@@ -87,6 +88,9 @@
 // backlog, and connections that wait for a request are closed to make room.
 func (f *Frontend) SetMaxConns(n int) { f.maxConns.Store(int64(n)) }
 
+// Full reports whether further connections wait until an open one has ended.
+func (f *Frontend) Full() bool { return f.full.Load() }
+
 // raiseHeaderCeiling starts another HTTP server for new connections if the limit exceeds that
 // of the current one, because an http.Server's limits cannot change while it serves. The
 // earlier server keeps its connections.
@@ -159,12 +163,10 @@
 		if !f.awaitRoom() {
 			return f.listener.Close()
 		}
-		conn, err := f.listener.Accept()
+		conn, err := f.accept()
 		if err == nil {
 			f.accepted(&graceful.Conn{Conn: f.wrap(conn)})
-			if err = f.extendBacklogTime(); err == nil {
-				continue
-			}
+			continue
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil
@@ -183,9 +185,19 @@
 	}
 }
 
+// accept accepts the next connection. A stopping frontend waits at most backlogTime for it.
+func (f *Frontend) accept() (net.Conn, error) {
+	if err := f.extendBacklogTime(); err != nil {
+		return nil, err
+	}
+	return f.listener.Accept()
+}
+
 // awaitRoom waits until another connection may be accepted. It reports false if a shutdown ends the wait.
 func (f *Frontend) awaitRoom() bool {
+	defer f.full.Store(false)
 	for limit := f.maxConns.Load(); limit > 0 && !f.conns.MakeRoom(int(limit), minWaitAtLimit); limit = f.maxConns.Load() {
+		f.full.Store(true)
 		if stopAt := f.stopAt.Load(); stopAt != 0 && time.Now().UnixNano() >= stopAt {
 			return false
 		}
@@ -229,7 +241,7 @@
 
 const (
 	// acceptBackoff is the delay after a failed accept, for example when the process is
-	// out of file descriptors, and between two looks for room.
+	// out of file descriptors, and between two checks for room.
 	acceptBackoff = 20 * time.Millisecond
 	// minWaitAtLimit is how long a connection may wait for a request while the limit is reached.
 	minWaitAtLimit = time.Second
--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -162,6 +162,17 @@
 	}
 }
 
+// waitTime returns how long the connection has waited for a request, 0 if it does not wait, and whether
+// its wait was ended.
+func (c *Conn) waitTime(now time.Time) (wait time.Duration, expired bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting() {
+		return 0, false
+	}
+	return now.Sub(c.since), c.expired
+}
+
 // expire ends the wait of a connection that has waited for a request for longer than minIdle, or, if
 // it is new, than minNew.
 func (c *Conn) expire(now time.Time, minNew, minIdle time.Duration) {
--- a/internal/graceful/conns.go
+++ b/internal/graceful/conns.go
@@ -4,10 +4,13 @@
 package graceful
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -85,13 +88,30 @@
 	}
 }
 
-// MakeRoom ends the wait of connections that have waited for a request for longer than minWait, if
-// as many connections as limit are open. It reports whether fewer are open.
+// MakeRoom reports whether fewer connections than limit are open. If not, it ends the wait of those
+// that have waited longest for a request, and for longer than minWait, as many as are too many.
 func (s *Conns) MakeRoom(limit int, minWait time.Duration) bool {
 	s.mu.Lock()
-	open := len(s.open)
-	s.mu.Unlock()
-	return open < limit || s.expireIdle(time.Now(), minWait, minWait) < limit
+	defer s.mu.Unlock()
+	excess := len(s.open) - limit + 1
+	if excess <= 0 {
+		return true
+	}
+	now := time.Now()
+	waiting := make(map[*Conn]time.Duration)
+	for conn := range s.open {
+		switch wait, expired := conn.waitTime(now); {
+		case expired:
+			excess-- // about to be closed
+		case wait > minWait:
+			waiting[conn] = wait
+		}
+	}
+	longest := slices.SortedFunc(maps.Keys(waiting), func(a, b *Conn) int { return cmp.Compare(waiting[b], waiting[a]) })
+	for _, conn := range longest[:min(max(excess, 0), len(longest))] {
+		conn.expire(now, minWait, minWait)
+	}
+	return false
 }
 
 // expireIdle ends the wait of connections for a request, see Conn.expire. It returns the number of open
