Remove a redundant condition from the check for a crash

Cause: causedCrash asked for all fingerprints only if the whole request was not suspected, although it is one of them, so the first result decides nothing more there. Change: the second check stands alone. Result: no change of behaviour.

--- a/internal/gate/quarantine.go
+++ b/internal/gate/quarantine.go
@@ -120,12 +120,11 @@
 		candidate.Begun = attempt.TimeToFirstByte() > 0
 	}
 	whole := candidate.Fingerprints[len(candidate.Fingerprints)-1:]
-	repeated := p.gate.opts.Quarantine.Suspected(whole)
-	if !repeated && !candidate.Begun {
+	if !candidate.Begun && !p.gate.opts.Quarantine.Suspected(whole) {
 		go p.gate.checkCrash(attempt.Server(), candidate)
 		return false
 	}
-	suspected := repeated || p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
+	suspected := p.gate.opts.Quarantine.Suspected(candidate.Fingerprints)
 	if p.gate.reportIfCrashed(attempt.Server(), candidate) {
 		return suspected
 	}
