--- a/internal/admission/drain.go
+++ b/internal/admission/drain.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// drainAcceptDivisor is the part of a drain in which requests without a near deadline are accepted. A caller that
-	// does not know of the stop yet is served, and the rest of the drain suffices for most requests.
+	// drainAcceptDivisor is the part of a drain in which requests without a near deadline are accepted.
+	// A caller that does not know of the stop yet is served, and the rest of the drain suffices for most
+	// requests.
 	drainAcceptDivisor = 3
 	// maxDrainAccept bounds that part.
 	maxDrainAccept = 2500 * time.Millisecond
--- a/internal/fleet/streamtime_test.go
+++ b/internal/fleet/streamtime_test.go
@@ -8,8 +8,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// Guards against an expectation from too few streams, one that most streams exceed or that few of varied length reach, and an overflow with
-// as many declared events as a caller likes.
+// Guards against an expectation from too few streams, one that most streams exceed, one that few streams
+// of varied length reach, and an overflow with as many declared events as a caller likes.
 func TestExpectedStreamTime(t *testing.T) {
 	const declared, gap = 100, 40 * time.Millisecond
 	random := rand.New(rand.NewPCG(1, 1))
--- a/internal/gate/buffered.go
+++ b/internal/gate/buffered.go
@@ -12,9 +12,9 @@
 	"github.com/monsoonworks/monsoonworks/internal/verdict"
 )
 
-// relayBuffered reads the complete response and relays it, or relays it as it arrives if the memory
-// for bodies is used up and its length is known: otherwise it may be endless. A 5xx response is returned in the outcome instead, because another server
-// may succeed.
+// relayBuffered reads the complete response and relays it. If the memory for bodies is used up, it relays
+// a response of known length as it arrives; one of unknown length may be endless. A 5xx response is
+// returned in the outcome instead, because another server may succeed.
 func (p *proxyRequest) relayBuffered(conn *upstream.Conn, response *http.Response, info ResponseInfo) outcome {
 	if err := conn.SetResponseDeadline(p.deadline); err != nil {
 		conn.Discard()
--- a/internal/reserve/client.go
+++ b/internal/reserve/client.go
@@ -115,7 +115,8 @@
 // Reserve reserves req.Bound tokens at the quota server of the workspace's group. If that server
 // does not reply, or refuses with ReserveReply.Elsewhere set, the next server in the group's
 // ranking is tried, up to maxServerAttempts in all; servers that are draining do not count. If none
-// replies or all are draining, the fallback in this process grants the reservation. The errors are those of prepaid.Manager.Reserve.
+// replies or all are draining, the fallback in this process grants the reservation. The errors are those
+// of prepaid.Manager.Reserve.
 func (c *Client) Reserve(ctx context.Context, req prepaid.ReservationRequest) (prepaid.Reservation, error) {
 	var refusal error
 	group, attempts := workspaceGroup(req.Workspace, c.opts.Workspaces()), 0
